Reserve memory at a decode server before a prompt is read

Change: a request waits for a reservation of its memory before its prompt is read. SIGHUP reads the settings again. Replicas tell the seeds who is in the group.

--- a/src/main/java/io/chivehollow/cli/RunCommand.java
+++ b/src/main/java/io/chivehollow/cli/RunCommand.java
@@ -38,6 +38,7 @@
         LogOutput.configure(settings);
         ChivehollowProcess process = ChivehollowProcess.start(settings);
         Runtime.getRuntime().addShutdownHook(new Thread(process::close, "shutdown"));
+        SettingsWatch.start(Path.of(file), settings, process::setSeeds);
         LOG.infof("Instance %s in failure domain %s has started", settings.instance(), settings.failureDomain());
         try {
             Thread.currentThread().join();
--- a/src/main/java/io/chivehollow/coordination/forwarding/BackendListReader.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/BackendListReader.java
@@ -65,6 +65,9 @@
     }
 
     private void onRead(@Nullable List<BackendEntry> entries, @Nullable Throwable failure) {
+        if (isClosed) {
+            return;
+        }
         if (entries == null) {
             if (!hasFailed) {
                 LOG.warnf("The list of backend servers cannot be read, the last one stays in use: %s", failure);
--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/BackendFields.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/BackendFields.java
@@ -15,6 +15,7 @@
  * @param priority urgency, 0 first
  * @param isPrefill whether only the prompt is to be read
  * @param transferSource where the memory of the prompt is to be fetched; null if it is not
+ * @param reservation reserved memory that the request uses; null if there is none
  * @param resumeAfter event after which a stream is to go on; empty to leave it as the caller sent it
  */
 public record BackendFields(
@@ -24,4 +25,5 @@
         int priority,
         boolean isPrefill,
         @Nullable String transferSource,
+        @Nullable String reservation,
         OptionalLong resumeAfter) {}
--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/Dialect.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/Dialect.java
@@ -1,5 +1,7 @@
 package io.chivehollow.coordination.forwarding.adapter;
 
+import java.util.Optional;
+
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -29,7 +31,16 @@
     PrefillResult readPrefill(byte[] body);
 
     /** Returns the request that frees the result of a prefill. */
-    FullHttpRequest freePrefill(String handle);
+    FullHttpRequest freePrefill(String backendServer, String handle);
+
+    /** Returns the request that reserves memory for a while. */
+    FullHttpRequest reserve(String backendServer, long tokens, long timeMs);
+
+    /** Returns the name of the reservation that was made, or nothing if the answer names none. */
+    Optional<String> readReservation(byte[] body);
+
+    /** Returns the request that frees a reservation. */
+    FullHttpRequest dropReservation(String backendServer, String reservation);
 
     /** Returns the value of the field that tells a caller after which time to come back. */
     String retryAfter(long timeMs);
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -25,6 +25,9 @@
     /** With the first time, bounds the time without a try at 4 s. */
     private static final int MAX_FAILURES_IN_ROW = 5;
 
+    /** Time for which a refused reservation is not asked for again; a request ends about each 100 ms. */
+    private static final long MEMORY_FULL_NANOS = 40_000_000L;
+
     /** A full backend server has room again after about one request's time. */
     private static final long FULL_NANOS = 50_000_000L;
 
@@ -39,6 +42,8 @@
     private @Nullable BackendLoad load;
     private long loadNanos;
     private long lastColdSendNanos;
+    private long memoryFullUntilNanos;
+    private long refusedTokens;
     private boolean isListed = true;
 
     Backend(BackendEntry entry, long nowNanos) {
@@ -148,6 +153,26 @@
         return Math.max(running, reported.running() + reported.waiting());
     }
 
+    /** Counts memory that is asked for or granted; to be balanced with {@link #onReserveEnd}. */
+    public void onReserve(long tokens) {
+        memoryTokens += tokens;
+    }
+
+    /** Takes back what {@link #onReserve} counted. */
+    public void onReserveEnd(long tokens) {
+        memoryTokens -= tokens;
+    }
+
+    /** Records that there was no memory for so many tokens. */
+    public void onMemoryFull(long tokens, long nowNanos) {
+        memoryFullUntilNanos = nowNanos + MEMORY_FULL_NANOS;
+        refusedTokens = tokens;
+    }
+
+    boolean lacksMemory(long tokens, long nowNanos) {
+        return memoryFullUntilNanos - nowNanos > 0 && tokens >= refusedTokens;
+    }
+
     long promptTokens() {
         return promptTokens;
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
@@ -22,6 +22,9 @@
     /** Time between two requests to a cold backend server from one process; several processes share its rate. */
     private static final long COLD_PAUSE_NANOS = 500_000_000L;
 
+    /** Weighs requests of other processes, whose size is not known; the mean prompt of both sites. */
+    private static final double MEAN_REQUEST_TOKENS = 5_000;
+
     private final BackendTable table;
     private final RandomGenerator random;
 
@@ -45,6 +48,15 @@
                         : backend.requests(nowNanos));
     }
 
+    /** Returns the server that most likely has the memory, if any has not refused so much just now. */
+    public Optional<Backend> memory(
+            String service, long tokens, Predicate<FailureDomain> isOut, long nowNanos) {
+        List<Backend> open = filter(
+                candidates(service, Stage.DECODE, Stage.DECODE, Set.of(), isOut, nowNanos),
+                backend -> !backend.lacksMemory(tokens, nowNanos));
+        return least(open, backend -> backend.memoryTokens() + backend.requests(nowNanos) * MEAN_REQUEST_TOKENS);
+    }
+
     /** Returns the server that has the fewest prompt tokens to read, if the service has servers for that. */
     public Optional<Backend> prefill(
             String service, Set<String> excluded, Predicate<FailureDomain> isOut, long nowNanos) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -14,6 +14,10 @@
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendCall;
 import io.chivehollow.coordination.forwarding.backend.BackendListener;
+import io.chivehollow.coordination.forwarding.backend.ShortAnswer;
+import io.chivehollow.coordination.forwarding.reserve.MemoryDemand;
+import io.chivehollow.coordination.forwarding.reserve.MemoryReservation;
+import io.chivehollow.coordination.forwarding.reserve.MemoryTicket;
 import io.chivehollow.coordination.gateway.TokenBudget.Reservation;
 import io.chivehollow.protocol.wire.RepeatRule;
 import io.netty.buffer.ByteBuf;
@@ -55,6 +59,12 @@
     /** Share of its target for which a request waits for a free backend server. */
     private static final int WAIT_SHARE = 4;
 
+    /** Share of the target for which a request waits for memory; the rest is for reading its prompt. */
+    private static final int MEMORY_WAIT_PERCENT = 45;
+
+    /** Longest wait of a request that is late anyhow; callers give a stream up after 3.6 s without an event. */
+    private static final long MAX_LATE_WAIT_MS = 1_500;
+
     private static final long MS_TO_NANOS = 1_000_000;
 
     private final ForwardServices services;
@@ -70,6 +80,8 @@
     private @Nullable BackendCall call;
     private @Nullable Attempt attempt;
     private @Nullable Prefilled prefilled;
+    private @Nullable MemoryTicket ticket;
+    private @Nullable MemoryReservation reserved;
     private AnswerRelay relay = AnswerRelay.none();
     private long endNanos;
     private int sends;
@@ -163,8 +175,13 @@
             return;
         }
         Admission.Admitted now = admitted();
-        boolean isFirstRead = now.route().getGeneration() && prefilled == null && !hasTriedPrefill && runs == 0;
-        if (isFirstRead && request.fields().lastEventId().isEmpty() && relay.lastEventId().isEmpty()) {
+        if (now.route().getGeneration() && reserved == null) {
+            reserveMemory(now);
+            return;
+        }
+        MemoryReservation memory = reserved;
+        boolean isNew = request.fields().lastEventId().isEmpty() && relay.lastEventId().isEmpty();
+        if (memory != null && isNew && prefilled == null && !hasTriedPrefill) {
             Optional<Backend> reader = services.choice()
                     .prefill(now.service(), tried, this::isOut, services.nanoTime().getAsLong());
             if (reader.isPresent()) {
@@ -172,6 +189,10 @@
                 return;
             }
         }
+        if (memory != null) {
+            sendRun(memory.backend());
+            return;
+        }
         Optional<Backend> runner =
                 services.choice().runner(now.service(), tried, this::isOut, services.nanoTime().getAsLong());
         if (runner.isPresent() && sends < MAX_SENDS) {
@@ -181,6 +202,53 @@
         }
     }
 
+    /** Waits for memory; a request that cannot meet its target any more waits longer, but behind the others. */
+    private void reserveMemory(Admission.Admitted now) {
+        if (sends >= MAX_SENDS) {
+            fail(ErrorCode.OVERLOADED, "Backend servers are full");
+            return;
+        }
+        long targetMs = now.route().getTargetMs();
+        boolean isLate = isReturn() || sends > 0 && waitedMs() > targetMs;
+        long maxWaitMs = isLate ? MAX_LATE_WAIT_MS : targetMs * MEMORY_WAIT_PERCENT / 100;
+        long tokens = request.fields().promptTokens() + request.fields().maxOutputTokens();
+        MemoryDemand demand =
+                new MemoryDemand(now.service(), tokens, isLate, Math.max(1, maxWaitMs), this::isOut);
+        ticket = services.memory().add(demand, granted -> {
+            ticket = null;
+            if (granted == null) {
+                fail(ErrorCode.OVERLOADED, "No backend server has memory for " + tokens + " tokens");
+            } else {
+                trace.onOutcome("memory at " + granted.backend().id());
+                reserved = granted;
+                granted.backend().onReserve(granted.tokens());
+                next();
+            }
+        });
+    }
+
+    private long waitedMs() {
+        return (services.nanoTime().getAsLong() - request.arrivalNanos()) / MS_TO_NANOS;
+    }
+
+    /** Returns whether the caller has spent a part of its time elsewhere, on an attempt that was refused. */
+    private boolean isReturn() {
+        long deadlineMs = request.fields().deadlineMs().orElse(Long.MAX_VALUE);
+        return deadlineMs + admitted().route().getTargetMs() < admitted().route().getTimeoutMs();
+    }
+
+    private void endReservation(boolean isUsed) {
+        MemoryReservation memory = reserved;
+        if (memory == null) {
+            return;
+        }
+        reserved = null;
+        memory.backend().onReserveEnd(memory.tokens());
+        if (!isUsed) {
+            services.memory().drop(memory);
+        }
+    }
+
     private void waitOrRefuse(String reason) {
         long waitedNanos = services.nanoTime().getAsLong() - request.arrivalNanos();
         boolean mayWait = waitedNanos < admitted().route().getTargetMs() * MS_TO_NANOS / WAIT_SHARE;
@@ -199,7 +267,7 @@
     private void sendPrefill(Backend backend) {
         hasTriedPrefill = true;
         long prompt = request.fields().promptTokens();
-        Attempt started = new Attempt(backend, prompt, prompt, true);
+        Attempt started = new Attempt(backend, prompt, 0, true);
         begin(started);
         call = services.connections().send(backend, backendRequest(backend, true), new PrefillListener(started));
     }
@@ -212,10 +280,12 @@
         }
         sends++;
         long prompt = prefilled == null ? request.fields().promptTokens() : 0;
-        long memory = request.fields().promptTokens() + request.fields().maxOutputTokens();
-        Attempt started = new Attempt(backend, prompt, memory, false);
+        MemoryReservation memory = reserved;
+        Attempt started = new Attempt(backend, prompt, memory == null ? 0 : memory.tokens(), false);
         begin(started);
         call = services.connections().send(backend, backendRequest(backend, false), new RunListener(started));
+        // The run counts its memory itself from here.
+        endReservation(true);
     }
 
     private void begin(Attempt started) {
@@ -241,6 +311,7 @@
         headers.set(request.headers());
         Admission.Admitted now = admitted();
         Prefilled source = prefilled;
+        MemoryReservation memory = reserved;
         services.dialect()
                 .toBackend(
                         headers,
@@ -251,6 +322,7 @@
                                 now.priority(),
                                 isPrefill,
                                 isPrefill || source == null ? null : source.transferSource(),
+                                isPrefill || memory == null ? null : memory.id(),
                                 relay.lastEventId()));
         if (request.body().length > 0 || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
@@ -306,7 +378,7 @@
         Prefilled source = prefilled;
         if (source != null) {
             services.connections()
-                    .send(source.backend, services.dialect().freePrefill(source.result.handle()), IgnoredAnswer.INSTANCE);
+                    .send(source.backend, services.dialect().freePrefill(source.backend.id(), source.result.handle()), new ShortAnswer((status, body) -> trace.note("prefill freed")));
         }
     }
 
@@ -356,6 +428,9 @@
         if (timeout != null) {
             timeout.cancel(false);
         }
+        if (ticket != null) {
+            ticket.cancel();
+        }
         if (reserving != null) {
             reserving.cancel(false);
         }
@@ -370,6 +445,8 @@
         if (prefilled != null && !wasSent) {
             freePrefill();
         }
+        endReservation(false);
+        services.memory().onFreed(admitted == null ? "" : admitted.service());
         relay.release();
         settle(wasSent);
         long totalNanos = services.nanoTime().getAsLong() - request.arrivalNanos();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
@@ -5,6 +5,7 @@
 import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.chivehollow.coordination.forwarding.backend.BackendChoice;
 import io.chivehollow.coordination.forwarding.backend.BackendConnections;
+import io.chivehollow.coordination.forwarding.reserve.MemoryQueue;
 import io.chivehollow.coordination.gateway.TokenBudget;
 import io.netty.channel.EventLoop;
 
@@ -20,6 +21,7 @@
  * @param budget rates of the teams
  * @param choice choice of backend servers
  * @param connections connections to backend servers
+ * @param memory queue for memory of language models
  * @param repeats budget of repetitions
  * @param metrics counts outcomes
  */
@@ -31,6 +33,7 @@
         TokenBudget budget,
         BackendChoice choice,
         BackendConnections connections,
+        MemoryQueue memory,
         RepeatBudget repeats,
         ForwardMetrics metrics) {
 
@@ -52,6 +55,7 @@
                 budget,
                 choice,
                 connections,
+                MemoryQueue.create(loop, nanoTime, dialect, choice, connections),
                 new RepeatBudget(nanoTime),
                 metrics);
     }
--- a/src/main/java/io/chivehollow/coordination/replica/ReplicaDirectory.java
+++ b/src/main/java/io/chivehollow/coordination/replica/ReplicaDirectory.java
@@ -7,9 +7,9 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import com.google.common.net.InetAddresses;
-import com.google.protobuf.ProtocolStringList;
 import io.chivehollow.base.ErrorCode;
 import io.chivehollow.base.InstanceId;
 import io.chivehollow.base.Scheduler;
@@ -48,8 +48,10 @@
     private volatile List<InetSocketAddress> seeds;
     private volatile List<InetSocketAddress> addresses;
     private volatile List<String> instances = List.of();
+    private volatile Supplier<List<InstanceId>> localMembers = List::of;
+    private volatile boolean hasLostReplicas;
     private volatile Scheduler.Timer timer = () -> {};
-    private int turn;
+    private volatile int turn;
 
     private ReplicaDirectory(List<InetSocketAddress> seeds, OptionalInt peerPort, ConnectionPool connections) {
         this.peerPort = peerPort;
@@ -121,18 +123,38 @@
         listener.accept(addresses);
     }
 
+    /** Takes the members that a replica in this process knows from its log. */
+    public void setLocalMembers(Supplier<List<InstanceId>> members) {
+        localMembers = members;
+    }
+
     private void ask() {
-        List<InetSocketAddress> known = addresses;
-        InetSocketAddress asked = known.get(Math.floorMod(turn++, known.size()));
-        query(asked, () -> {
-            List<InetSocketAddress> listed = seeds;
-            query(listed.get(Math.floorMod(turn, listed.size())), () -> {});
+        turn++;
+        List<String> local =
+                localMembers.get().stream().map(InstanceId::value).toList();
+        if (!local.isEmpty()) {
+            accept(local);
+            // Seeds that are not replicas learn the group from its members.
+            query(nextOf(seeds), () -> {});
+            return;
+        }
+        query(nextOf(addresses), () -> {
+            hasLostReplicas = true;
+            query(nextOf(seeds), () -> {});
         });
     }
 
+    private InetSocketAddress nextOf(List<InetSocketAddress> list) {
+        return list.get(Math.floorMod(turn, list.size()));
+    }
+
     private void query(InetSocketAddress asked, Runnable otherwise) {
         connections
-                .call(asked, Frame.newBuilder().setMembersQuery(MembersQuery.getDefaultInstance()), TIMEOUT_MS)
+                .call(
+                        asked,
+                        Frame.newBuilder()
+                                .setMembersQuery(MembersQuery.newBuilder().addAllInstances(instances)),
+                        TIMEOUT_MS)
                 .whenComplete((answer, failure) -> {
                     if (failure != null || answer.getMemberList().getInstancesCount() == 0) {
                         otherwise.run();
@@ -142,7 +164,8 @@
                 });
     }
 
-    private void accept(ProtocolStringList members) {
+    private synchronized void accept(List<String> members) {
+        hasLostReplicas = false;
         List<InetSocketAddress> found = new ArrayList<>();
         for (String member : members) {
             address(member).ifPresent(found::add);
@@ -161,6 +184,10 @@
     @Override
     public ServerCallListener onCall(ServerCall call, Frame first) {
         if (first.hasMembersQuery()) {
+            List<String> told = first.getMembersQuery().getInstancesList();
+            if (!told.isEmpty() && (instances.isEmpty() || hasLostReplicas)) {
+                accept(told);
+            }
             call.finish(Frame.newBuilder()
                     .setMemberList(MemberList.newBuilder().addAllInstances(instances)));
         } else {
--- a/src/main/java/io/chivehollow/runtime/ReplicaRole.java
+++ b/src/main/java/io/chivehollow/runtime/ReplicaRole.java
@@ -84,6 +84,7 @@
                 .withObserver(metrics);
         ConsensusMember member = ReplicatedLogs.open(config);
         consensusHandler.setMember(member);
+        directory.setLocalMembers(member::members);
         ReplicaService service = ReplicaService.start(
                 settings.instance(),
                 member,
