Hold no budget in advance for large requests, and close connections after a shutdown began

A run whose address belongs to another backend server now was tried up to three times.

Change: with small bursts nothing is held for requests that cost more than a 64th of the burst; a connection ends with its answer once the instance has stopped listening; 421 of another server ends the use of a run.

--- a/src/main/java/io/chivehollow/coordination/budget/BudgetBorrower.java
+++ b/src/main/java/io/chivehollow/coordination/budget/BudgetBorrower.java
@@ -110,7 +110,8 @@
         Map<String, TeamLoans> shard = shardOf(team.value());
         boolean hasNewNeed;
         synchronized (shard) {
-            TeamLoans loans = shard.computeIfAbsent(team.value(), id -> new TeamLoans(nowNanos));
+            TeamLoans loans =
+                    shard.computeIfAbsent(team.value(), id -> new TeamLoans(options.advanceDivisor(), nowNanos));
             TeamLoans.Waiter waiter = new TeamLoans.Waiter(
                     tokens,
                     nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs),
@@ -304,7 +305,7 @@
             }
             Map<String, TeamLoans> shard = shardOf(team.value());
             synchronized (shard) {
-                shard.computeIfAbsent(team.value(), id -> new TeamLoans(clock.nanoTime()))
+                shard.computeIfAbsent(team.value(), id -> new TeamLoans(options.advanceDivisor(), clock.nanoTime()))
                         .addUnused(tokens - Math.max(0, actualTokens), admissionNanos);
             }
         }
--- a/src/main/java/io/chivehollow/coordination/budget/TeamLoans.java
+++ b/src/main/java/io/chivehollow/coordination/budget/TeamLoans.java
@@ -42,6 +42,7 @@
 
     private final Deque<Unused> unused = new ArrayDeque<>();
     private final List<Unused> reportedUnused = new ArrayList<>();
+    private final int advanceDivisor;
     private long held;
     private long heldUntilNanos;
     private long old;
@@ -55,11 +56,14 @@
     private boolean isReported;
     private boolean isRecalled;
     private long demand;
+    private long largestDemand;
+    private long burst;
     private double demandPerSecond;
     private long averagedNanos;
     private long nextOrder;
 
-    TeamLoans(long nowNanos) {
+    TeamLoans(int advanceDivisor, long nowNanos) {
+        this.advanceDivisor = advanceDivisor;
         this.averagedNanos = nowNanos;
     }
 
@@ -71,6 +75,8 @@
     /** Admits the request or makes it wait; it overtakes only requests with later deadlines. */
     void add(Waiter waiter, long burstTokens, long nowNanos, List<Runnable> completions) {
         demand += waiter.tokens;
+        largestDemand = Math.max(largestDemand, waiter.tokens);
+        burst = burstTokens;
         waiters.add(waiter);
         serve(burstTokens, nowNanos, completions);
     }
@@ -125,9 +131,9 @@
     void startReport(long nowNanos) {
         dropExpiredLoans(nowNanos);
         updateDemand(nowNanos);
-        long burstOfDemand = isRecalled ? 0 : (long) Math.ceil(demandPerSecond * HOLD_SECONDS);
+        long inAdvance = isRecalled ? 0 : inAdvance();
         long queued = waiters.stream().mapToLong(waiter -> waiter.tokens).sum();
-        long target = queued + burstOfDemand;
+        long target = queued + inAdvance;
         held = Math.min(held, isRecalled ? 0 : target);
         isRecalled = false;
         reportedReturned = old;
@@ -144,6 +150,14 @@
         isReported = true;
     }
 
+    /** Returns what is held for requests that have not come yet: nothing if one of them would need more. */
+    private long inAdvance() {
+        long limit = advanceDivisor == 1 ? Long.MAX_VALUE : burst / advanceDivisor;
+        return advanceDivisor > 1 && limit < largestDemand
+                ? 0
+                : Math.min(limit, (long) Math.ceil(demandPerSecond * HOLD_SECONDS));
+    }
+
     private void updateDemand(long nowNanos) {
         double seconds = (nowNanos - averagedNanos) / (double) TimeUnit.SECONDS.toNanos(1);
         if (seconds <= 0) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/Endpoint.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/Endpoint.java
@@ -100,8 +100,8 @@
             }
             int query = request.uri().indexOf('?');
             String path = query < 0 ? request.uri() : request.uri().substring(0, query);
-            EndpointHandler.Request read = new EndpointHandler.Request(
-                    request.method().name(), path, ByteBufUtil.getBytes(request.content()));
+            EndpointHandler.Request read =
+                    new EndpointHandler.Request(request.method().name(), path, ByteBufUtil.getBytes(request.content()));
             handler.handle(read).whenComplete((answer, failure) -> {
                 if (failure != null) {
                     LOG.errorf(failure, "%s %s cannot be answered", read.method(), path);
--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -92,10 +92,7 @@
                 MAX_DOCUMENT_BYTES,
                 adapter.operatorHandler(new ReplicatedActions(control)));
         this.readiness = Endpoint.start(
-                settings.readinessAddress(),
-                eventLoops,
-                MAX_READINESS_BYTES,
-                adapter.readinessHandler(this::isReady));
+                settings.readinessAddress(), eventLoops, MAX_READINESS_BYTES, adapter.readinessHandler(this::isReady));
     }
 
     /** Starts the role. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/CallerFields.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/CallerFields.java
@@ -14,6 +14,7 @@
  * @param deadlineMs time that the caller will wait
  * @param promptTokens tokens of the prompt, 0 if not stated
  * @param maxOutputTokens greatest number of output tokens, 0 if not stated
+ * @param expectedOutputTokens the caller's estimate of the output, 0 if not stated
  * @param statesTokens whether the request states its tokens
  * @param lastEventId last event that the caller has, if it goes on with a stream
  */
@@ -23,6 +24,7 @@
         OptionalLong deadlineMs,
         long promptTokens,
         long maxOutputTokens,
+        long expectedOutputTokens,
         boolean statesTokens,
         OptionalLong lastEventId) {
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -33,8 +33,8 @@
 
     final Deque<IdleConnection> idle = new ArrayDeque<>();
     private BackendEntry entry;
-    private long coldUntilNanos;
-    private long suspectUntilNanos;
+    private long coldUntilNanos = Long.MIN_VALUE / 2;
+    private long suspectUntilNanos = Long.MIN_VALUE / 2;
     private int failuresInRow;
     private int running;
     private long promptTokens;
@@ -42,9 +42,10 @@
     private @Nullable BackendLoad load;
     private long loadNanos;
     private long lastColdSendNanos;
-    private long memoryFullUntilNanos;
+    private long memoryFullUntilNanos = Long.MIN_VALUE / 2;
     private long refusedTokens;
     private boolean isListed = true;
+    private boolean isReplaced;
 
     Backend(BackendEntry entry, long nowNanos) {
         this.entry = entry;
@@ -84,15 +85,15 @@
     }
 
     boolean isUsable() {
-        return isListed && !entry.isDraining();
+        return isListed && !isReplaced && !entry.isDraining();
     }
 
     boolean isCold(long nowNanos) {
-        return coldUntilNanos - nowNanos > 0;
+        return nowNanos < coldUntilNanos;
     }
 
     boolean isSuspect(long nowNanos) {
-        return suspectUntilNanos - nowNanos > 0;
+        return nowNanos < suspectUntilNanos;
     }
 
     long lastColdSendNanos() {
@@ -124,7 +125,7 @@
     /** Records a sound answer. */
     public void onSuccess() {
         failuresInRow = 0;
-        suspectUntilNanos = 0;
+        suspectUntilNanos = Long.MIN_VALUE / 2;
     }
 
     /** Records a failure; the backend server is avoided for a time that doubles with each failure in a row. */
@@ -169,8 +170,18 @@
         refusedTokens = tokens;
     }
 
+    /** Records that a request has ended here, which has freed memory. */
+    public void onMemoryFreed() {
+        memoryFullUntilNanos = Long.MIN_VALUE / 2;
+    }
+
+    /** Records that the address belongs to another backend server; this run does not come back. */
+    public void onReplaced() {
+        isReplaced = true;
+    }
+
     boolean lacksMemory(long tokens, long nowNanos) {
-        return memoryFullUntilNanos - nowNanos > 0 && tokens >= refusedTokens;
+        return nowNanos < memoryFullUntilNanos && tokens >= refusedTokens;
     }
 
     long promptTokens() {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
@@ -49,8 +49,7 @@
     }
 
     /** Returns the server that most likely has the memory, if any has not refused so much just now. */
-    public Optional<Backend> memory(
-            String service, long tokens, Predicate<FailureDomain> isOut, long nowNanos) {
+    public Optional<Backend> memory(String service, long tokens, Predicate<FailureDomain> isOut, long nowNanos) {
         List<Backend> open = filter(
                 candidates(service, Stage.DECODE, Stage.DECODE, Set.of(), isOut, nowNanos),
                 backend -> !backend.lacksMemory(tokens, nowNanos));
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -45,7 +45,9 @@
         if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
             call = null;
-            current.fail(Failure.BROKEN_ANSWER, "not valid HTTP: " + object.decoderResult().cause());
+            current.fail(
+                    Failure.BROKEN_ANSWER,
+                    "not valid HTTP: " + object.decoderResult().cause());
             return;
         }
         if (message instanceof HttpResponse head) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -85,7 +85,8 @@
             return Optional.empty();
         }
         String key = request.fields().apiKey();
-        Optional<TeamAccess> team = key == null ? Optional.empty() : routes.get().team(key);
+        Optional<TeamAccess> team =
+                key == null ? Optional.empty() : routes.get().team(key);
         if (team.isEmpty()) {
             onRefusal.accept(
                     key == null
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/AnswerChecks.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/AnswerChecks.java
@@ -21,8 +21,7 @@
     private AnswerChecks() {}
 
     /** Reads the head and records the load and the idle timeout that it states. */
-    static AnswerFields read(
-            ForwardServices services, HttpResponse head, Backend backend, @Nullable BackendCall call) {
+    static AnswerFields read(ForwardServices services, HttpResponse head, Backend backend, @Nullable BackendCall call) {
         AnswerFields fields = services.dialect().readAnswer(head.status().code(), head.headers());
         BackendLoad load = fields.load();
         if (load != null) {
@@ -36,7 +35,8 @@
 
     /** Returns why the answer must not be passed on, or null if it may be. */
     static @Nullable String fault(ForwardRequest request, int status, AnswerFields fields) {
-        if (fields.requestId() != null && !fields.requestId().equals(request.fields().requestId())) {
+        if (fields.requestId() != null
+                && !fields.requestId().equals(request.fields().requestId())) {
             return "the answer belongs to request " + fields.requestId();
         }
         boolean isSuccess = status >= OK && status < REDIRECTION;
@@ -44,9 +44,14 @@
     }
 
     /** Avoids a backend server that has refused a request. */
-    static void onRefused(ForwardServices services, Backend backend, boolean isNotRun) {
+    static void onRefused(ForwardServices services, Backend backend, AnswerFields fields) {
         long now = services.nanoTime().getAsLong();
-        if (isNotRun) {
+        if (fields.isMisdirected() && !backend.id().equals(fields.backendServer())) {
+            backend.onReplaced();
+        } else if (fields.isMisdirected()) {
+            // Its stage has changed, which the next list says.
+            backend.onFailure(now);
+        } else if (fields.isNotRun()) {
             backend.onFull(now);
         } else {
             backend.onFailure(now);
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/AnswerRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/AnswerRelay.java
@@ -48,8 +48,7 @@
     }
 
     /** Returns the relay of an answer on the route. */
-    static AnswerRelay of(
-            ForwardRoute route, int status, HttpHeaders headers, CallerSink sink, Runnable onFirstByte) {
+    static AnswerRelay of(ForwardRoute route, int status, HttpHeaders headers, CallerSink sink, Runnable onFirstByte) {
         boolean isStream = route.getStreaming() && status == AnswerChecks.OK;
         return isStream
                 ? new StreamRelay(route.getResumable(), status, headers, sink, onFirstByte)
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -9,6 +9,7 @@
 import io.chivehollow.base.ErrorCode;
 import io.chivehollow.base.FailureDomain;
 import io.chivehollow.base.TeamId;
+import io.chivehollow.coordination.forwarding.adapter.AnswerFields;
 import io.chivehollow.coordination.forwarding.adapter.BackendFields;
 import io.chivehollow.coordination.forwarding.adapter.PrefillResult;
 import io.chivehollow.coordination.forwarding.backend.Backend;
@@ -180,10 +181,15 @@
             return;
         }
         MemoryReservation memory = reserved;
-        boolean isNew = request.fields().lastEventId().isEmpty() && relay.lastEventId().isEmpty();
+        boolean isNew =
+                request.fields().lastEventId().isEmpty() && relay.lastEventId().isEmpty();
         if (memory != null && isNew && prefilled == null && !hasTriedPrefill) {
             Optional<Backend> reader = services.choice()
-                    .prefill(now.service(), tried, this::isOut, services.nanoTime().getAsLong());
+                    .prefill(
+                            now.service(),
+                            tried,
+                            this::isOut,
+                            services.nanoTime().getAsLong());
             if (reader.isPresent()) {
                 sendPrefill(reader.get());
                 return;
@@ -193,8 +199,8 @@
             sendRun(memory.backend());
             return;
         }
-        Optional<Backend> runner =
-                services.choice().runner(now.service(), tried, this::isOut, services.nanoTime().getAsLong());
+        Optional<Backend> runner = services.choice()
+                .runner(now.service(), tried, this::isOut, services.nanoTime().getAsLong());
         if (runner.isPresent() && sends < MAX_SENDS) {
             sendRun(runner.get());
         } else {
@@ -211,9 +217,8 @@
         long targetMs = now.route().getTargetMs();
         boolean isLate = isReturn() || sends > 0 && waitedMs() > targetMs;
         long maxWaitMs = isLate ? MAX_LATE_WAIT_MS : targetMs * MEMORY_WAIT_PERCENT / 100;
-        long tokens = request.fields().promptTokens() + request.fields().maxOutputTokens();
-        MemoryDemand demand =
-                new MemoryDemand(now.service(), tokens, isLate, Math.max(1, maxWaitMs), this::isOut);
+        long tokens = memoryTokens();
+        MemoryDemand demand = new MemoryDemand(now.service(), tokens, isLate, Math.max(1, maxWaitMs), this::isOut);
         ticket = services.memory().add(demand, granted -> {
             ticket = null;
             if (granted == null) {
@@ -227,6 +232,14 @@
         });
     }
 
+    /** Returns the memory that the request most likely needs; a run that needs more goes on, but may be preempted. */
+    private long memoryTokens() {
+        long limit = request.fields().maxOutputTokens();
+        long expected = request.fields().expectedOutputTokens();
+        long output = expected == 0 ? limit : Math.min(limit, expected);
+        return request.fields().promptTokens() + output;
+    }
+
     private long waitedMs() {
         return (services.nanoTime().getAsLong() - request.arrivalNanos()) / MS_TO_NANOS;
     }
@@ -234,7 +247,8 @@
     /** Returns whether the caller has spent a part of its time elsewhere, on an attempt that was refused. */
     private boolean isReturn() {
         long deadlineMs = request.fields().deadlineMs().orElse(Long.MAX_VALUE);
-        return deadlineMs + admitted().route().getTargetMs() < admitted().route().getTimeoutMs();
+        return deadlineMs + admitted().route().getTargetMs()
+                < admitted().route().getTimeoutMs();
     }
 
     private void endReservation(boolean isUsed) {
@@ -302,6 +316,9 @@
             call = null;
         }
         ended.backend.onEnd(ended.isPromptRead ? 0 : ended.promptTokens, ended.memoryTokens);
+        if (ended.memoryTokens > 0) {
+            ended.backend.onMemoryFreed();
+        }
     }
 
     private FullHttpRequest backendRequest(Backend backend, boolean isPrefill) {
@@ -378,7 +395,10 @@
         Prefilled source = prefilled;
         if (source != null) {
             services.connections()
-                    .send(source.backend, services.dialect().freePrefill(source.backend.id(), source.result.handle()), new ShortAnswer((status, body) -> trace.note("prefill freed")));
+                    .send(
+                            source.backend,
+                            services.dialect().freePrefill(source.backend.id(), source.result.handle()),
+                            new ShortAnswer((status, body) -> trace.note("prefill freed")));
         }
     }
 
@@ -463,7 +483,9 @@
     }
 
     private String teamName() {
-        return admitted == null || admitted.access() == null ? "none" : admitted.access().getTeam();
+        return admitted == null || admitted.access() == null
+                ? "none"
+                : admitted.access().getTeam();
     }
 
     private long leftMs() {
@@ -502,7 +524,7 @@
         private final Attempt mine;
         private final BodyCollector body = new BodyCollector();
         private int status;
-        private boolean isNotRun;
+        private @Nullable AnswerFields fields;
 
         PrefillListener(Attempt mine) {
             this.mine = mine;
@@ -511,7 +533,7 @@
         @Override
         public void onHead(HttpResponse head) {
             status = head.status().code();
-            isNotRun = AnswerChecks.read(services, head, mine.backend, call).isNotRun();
+            fields = AnswerChecks.read(services, head, mine.backend, call);
         }
 
         @Override
@@ -527,7 +549,9 @@
                 accept();
             } else {
                 trace.onOutcome("prefill status " + status);
-                AnswerChecks.onRefused(services, mine.backend, isNotRun);
+                if (fields != null) {
+                    AnswerChecks.onRefused(services, mine.backend, fields);
+                }
             }
             next();
         }
@@ -559,6 +583,7 @@
         private final Attempt mine;
         private boolean isDiscarded;
         private boolean isNotRun;
+        private @Nullable AnswerFields fields;
         private int status;
 
         RunListener(Attempt mine) {
@@ -568,7 +593,7 @@
         @Override
         public void onHead(HttpResponse head) {
             status = head.status().code();
-            var fields = AnswerChecks.read(services, head, mine.backend, call);
+            fields = AnswerChecks.read(services, head, mine.backend, call);
             isNotRun = fields.isNotRun();
             if (isNotRun) {
                 isDiscarded = true;
@@ -618,8 +643,8 @@
         @Override
         public void onEnd() {
             endAttempt(mine);
-            if (isNotRun) {
-                AnswerChecks.onRefused(services, mine.backend, true);
+            if (isNotRun && fields != null) {
+                AnswerChecks.onRefused(services, mine.backend, fields);
                 onNotRun(mine, status);
             } else if (isDiscarded) {
                 trace.onOutcome("status " + status + ", repeated");
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
@@ -26,7 +26,9 @@
     void onAdmitted(Admission.Admitted admitted) {
         note("route " + admitted.route().getId() + " revision " + admitted.revision() + " service "
                 + admitted.service() + " team "
-                + (admitted.access() == null ? "none" : admitted.access().getTeam()));
+                + (admitted.access() == null ? "none" : admitted.access().getTeam()) + " tokens "
+                + request.fields().promptTokens() + "+" + request.fields().maxOutputTokens() + " expected "
+                + request.fields().expectedOutputTokens());
     }
 
     void onSend(String backend, boolean isPrefill) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
@@ -36,6 +36,7 @@
     private final Set<IngressConnection> connections = new HashSet<>();
     private @Nullable Channel serverChannel;
     private volatile boolean isDraining;
+    private volatile boolean isClosing;
 
     private Ingress(ForwardServices services) {
         this.services = services;
@@ -58,7 +59,8 @@
                     }
                 });
         try {
-            ingress.serverChannel = bootstrap.bind(address).syncUninterruptibly().channel();
+            ingress.serverChannel =
+                    bootstrap.bind(address).syncUninterruptibly().channel();
             return ingress;
             // Netty rethrows the checked BindException without declaring it.
         } catch (Exception e) {
@@ -95,6 +97,11 @@
         return isDraining;
     }
 
+    /** Returns whether connections are closed as soon as they have no open request. */
+    boolean isClosing() {
+        return isClosing;
+    }
+
     /** From now on each answer ends its connection; connections are still accepted. */
     public void beginDrain() {
         isDraining = true;
@@ -102,6 +109,7 @@
 
     /** Stops listening and closes the connections that have no open request. */
     public void closeIdle() {
+        isClosing = true;
         Channel listening = serverChannel;
         if (listening != null) {
             listening.close();
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
@@ -265,7 +265,8 @@
             ReferenceCountUtil.release(last);
             return;
         }
-        if (isKeepAlive) {
+        // An answer that began before the shutdown has promised a connection that is not there any more.
+        if (isKeepAlive && !ingress.isClosing()) {
             open.writeAndFlush(last);
             isBusy = false;
             open.pipeline().get(RequestTimer.class).onAnswered(open, !waiting.isEmpty());
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -74,8 +74,7 @@
     public MemoryTicket add(MemoryDemand demand, Consumer<@Nullable MemoryReservation> listener) {
         MemoryTicket ticket = new MemoryTicket(demand, listener);
         ServiceQueue queue = queues.computeIfAbsent(demand.service(), service -> new ServiceQueue());
-        ticket.setTimer(
-                loop.schedule(() -> ticket.complete(null), demand.maxWaitMs(), TimeUnit.MILLISECONDS));
+        ticket.setTimer(loop.schedule(() -> ticket.complete(null), demand.maxWaitMs(), TimeUnit.MILLISECONDS));
         queue.of(demand).addLast(ticket);
         queue.pump();
         return ticket;
@@ -116,10 +115,7 @@
                     return;
                 }
                 Optional<Backend> backend = choice.memory(
-                        next.demand.service(),
-                        next.demand.tokens(),
-                        next.demand.isOut(),
-                        nanoTime.getAsLong());
+                        next.demand.service(), next.demand.tokens(), next.demand.isOut(), nanoTime.getAsLong());
                 if (backend.isEmpty()) {
                     of(next.demand).addFirst(next);
                     pause();
--- a/src/main/java/io/chivehollow/coordination/replica/ReplicaDirectory.java
+++ b/src/main/java/io/chivehollow/coordination/replica/ReplicaDirectory.java
@@ -130,8 +130,7 @@
 
     private void ask() {
         turn++;
-        List<String> local =
-                localMembers.get().stream().map(InstanceId::value).toList();
+        List<String> local = localMembers.get().stream().map(InstanceId::value).toList();
         if (!local.isEmpty()) {
             accept(local);
             // Seeds that are not replicas learn the group from its members.
@@ -188,8 +187,7 @@
             if (!told.isEmpty() && (instances.isEmpty() || hasLostReplicas)) {
                 accept(told);
             }
-            call.finish(Frame.newBuilder()
-                    .setMemberList(MemberList.newBuilder().addAllInstances(instances)));
+            call.finish(Frame.newBuilder().setMemberList(MemberList.newBuilder().addAllInstances(instances)));
         } else {
             call.fail(ErrorCode.NOT_LEADER, "This instance is not a replica", true);
         }
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -5,8 +5,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicReference;
@@ -27,8 +27,8 @@
 import io.chivehollow.coordination.placement.TwoChoicesPolicy;
 import io.chivehollow.coordination.replica.BudgetReporter;
 import io.chivehollow.coordination.replica.ControlClient;
-import io.chivehollow.coordination.replica.ReplicaDirectory;
 import io.chivehollow.coordination.replica.LeaderLoadPermits;
+import io.chivehollow.coordination.replica.ReplicaDirectory;
 import io.chivehollow.coordination.sidecar.LogStartRecord;
 import io.chivehollow.coordination.sidecar.SidecarRole;
 import io.chivehollow.coordination.sidecar.SidecarServices;
@@ -109,12 +109,13 @@
         TransportOptions options = TransportOptions.of(settings.instance(), "chivehollow", settings.secret());
         ConnectionPool connections = part(
                 ConnectionPool.create(FrameClient.create(options, resources.eventLoops()), resources.eventLoops()));
-        ReplicaDirectory directory = part(ReplicaDirectory.start(
-                settings.replicas(), settings.peerPort(), connections, resources.scheduler()));
+        ReplicaDirectory directory = part(
+                ReplicaDirectory.start(settings.replicas(), settings.peerPort(), connections, resources.scheduler()));
         replicas = directory;
         ReplicaSettings replica = settings.replica();
         if (replica != null) {
-            ReplicaRole started = part(ReplicaRole.start(settings, replica, resources, connections, directory, registry));
+            ReplicaRole started =
+                    part(ReplicaRole.start(settings, replica, resources, connections, directory, registry));
             readiness.add(started::isReady);
         }
         GatewaySettings gateway = settings.gateway();
@@ -188,11 +189,14 @@
 
     private BorrowedBudget startBudget(
             ProcessResources resources, ConfigWatcher config, ControlClient control, SecureRandom random) {
+        // Bursts of forwarded teams cover a few requests; those of the product's own interface are large.
+        BudgetOptions options =
+                settings.forwarding() == null ? BudgetOptions.defaults() : BudgetOptions.forSmallBursts();
         AtomicReference<BudgetReporter> reporter = new AtomicReference<>();
         Function<TeamId, Optional<TeamBudget>> budgets =
                 team -> config.current().flatMap(current -> current.team(team)).map(TeamBudget::of);
         BudgetBorrower borrower = BudgetBorrower.create(
-                settings.instance(), random.nextLong(), BudgetOptions.defaults(), budgets, resources.clock(), () -> {
+                settings.instance(), random.nextLong(), options, budgets, resources.clock(), () -> {
                     BudgetReporter started = reporter.get();
                     if (started != null) {
                         started.onNewNeed();
--- a/src/main/java/io/chivehollow/runtime/PeerLinks.java
+++ b/src/main/java/io/chivehollow/runtime/PeerLinks.java
@@ -36,8 +36,7 @@
     private final Function<InstanceId, Optional<InetSocketAddress>> addresses;
     private final ConnectionPool connections;
 
-    private PeerLinks(
-            Function<InstanceId, Optional<InetSocketAddress>> addresses, ConnectionPool connections) {
+    private PeerLinks(Function<InstanceId, Optional<InetSocketAddress>> addresses, ConnectionPool connections) {
         this.addresses = addresses;
         this.connections = connections;
     }
--- a/src/main/java/io/chivehollow/settings/ReplicaSettings.java
+++ b/src/main/java/io/chivehollow/settings/ReplicaSettings.java
@@ -17,7 +17,12 @@
  * @param maxWeightLoads number of backend servers that may load from the weight store at the same time
  */
 public record ReplicaSettings(
-        InetSocketAddress address, Path dataFolder, List<Member> members, Joining joining, int snapshotEntries, int maxWeightLoads) {
+        InetSocketAddress address,
+        Path dataFolder,
+        List<Member> members,
+        Joining joining,
+        int snapshotEntries,
+        int maxWeightLoads) {
 
     public ReplicaSettings {
         members = List.copyOf(members);
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -54,7 +54,6 @@
     /** The sites give a process 8 s after SIGTERM; the rest is for the replica to hand over. */
     private static final int FORWARDING_SHUTDOWN_MS = 7_000;
 
-
     private static final JsonMapper MAPPER = JsonMapper.builder()
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
@@ -113,7 +112,9 @@
         boolean hasRole = gateway != null || sidecar != null || replica != null || forwarding != null;
         if (!hasRole && faults.isEmpty()) {
             reader.fault(
-                    "gateway", JsonNodeFactory.instance.missingNode(), "at least one of gateway, sidecar, replica, forwarding");
+                    "gateway",
+                    JsonNodeFactory.instance.missingNode(),
+                    "at least one of gateway, sidecar, replica, forwarding");
         }
         return new Settings(
                 instance,
@@ -246,7 +247,8 @@
             }
         }
         boolean mustBeListed = joining == ReplicaSettings.Joining.BY_OPERATOR;
-        if (mustBeListed && members.stream().noneMatch(member -> member.instance().equals(instance.value()))) {
+        if (mustBeListed
+                && members.stream().noneMatch(member -> member.instance().equals(instance.value()))) {
             reader.fault(
                     "members",
                     JsonNodeFactory.instance.textNode(members.toString()),
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -553,7 +553,8 @@
 
     /** Removes one voter that has been silent for long, so that its successor makes the group whole again. */
     private void removeSilentVoter(long now) {
-        if (!canChangeMembers() || members().voters().size() <= config.initialMembers().size()) {
+        if (!canChangeMembers()
+                || members().voters().size() <= config.initialMembers().size()) {
             return;
         }
         for (MemberId voter : members().voters()) {
--- a/src/main/java/io/chivehollow/state/consensus/MemberPolicy.java
+++ b/src/main/java/io/chivehollow/state/consensus/MemberPolicy.java
@@ -34,7 +34,6 @@
 
     /** Returns the policy of a group that new instances join by themselves and that gives up silent ones. */
     public static MemberPolicy automatic(boolean formsGroup, Supplier<List<InstanceId>> contacts) {
-        return new MemberPolicy(
-                formsGroup, true, TimeUnit.MILLISECONDS.toNanos(REMOVAL_SILENCE_MS), contacts);
+        return new MemberPolicy(formsGroup, true, TimeUnit.MILLISECONDS.toNanos(REMOVAL_SILENCE_MS), contacts);
     }
 }
--- a/src/main/java/io/chivehollow/state/machine/PublishedDeployment.java
+++ b/src/main/java/io/chivehollow/state/machine/PublishedDeployment.java
@@ -36,12 +36,12 @@
     /** Returns the state after the command, or null if the revision is not higher than the released one. */
     ReleasedState.@Nullable Builder publish(PublishDeployment command, ReleasedState released) {
         Deployment deployment = command.getDeployment();
-        if (released.hasDeployment()
-                && released.getDeployment().getRevision() >= deployment.getRevision()) {
+        if (released.hasDeployment() && released.getDeployment().getRevision() >= deployment.getRevision()) {
             return null;
         }
         document = command.getDocument();
-        ReleasedState.Builder next = released.toBuilder().setDeployment(deployment).clearTeams();
+        ReleasedState.Builder next =
+                released.toBuilder().setDeployment(deployment).clearTeams();
         next.addAllTeams(released.getTeamsList().stream()
                 .filter(team -> team.getReleaseNumber() != 0)
                 .toList());
--- a/src/test/java/io/chivehollow/coordination/budget/BudgetHistoryTest.java
+++ b/src/test/java/io/chivehollow/coordination/budget/BudgetHistoryTest.java
@@ -30,7 +30,7 @@
     /** Guards against a checker that does not see loans that are used after the lender counted them as spent. */
     @Test
     public void checkerFindsLoansUsedAfterTheirValidity() {
-        BudgetOptions withoutValidity = new BudgetOptions(600_000, 3_300, 3_300, 5_000);
+        BudgetOptions withoutValidity = new BudgetOptions(600_000, 3_300, 3_300, 5_000, 1);
         Seeds.checkFound(SEEDS, seed -> run(seed, BudgetOptions.defaults(), withoutValidity, RefundRule.limited()));
     }
 
@@ -44,7 +44,7 @@
     /** Guards against a checker that does not see loans of two leaders at once. */
     @Test
     public void checkerFindsANewLeaderThatLendsAtOnce() {
-        BudgetOptions withoutPause = new BudgetOptions(3_000, 3_300, 0, 5_000);
+        BudgetOptions withoutPause = new BudgetOptions(3_000, 3_300, 0, 5_000, 1);
         Seeds.checkFound(SEEDS, seed -> run(seed, withoutPause, BudgetOptions.defaults(), RefundRule.limited()));
     }
 
