--- a/src/main/java/io/chivehollow/cli/RunCommand.java
+++ b/src/main/java/io/chivehollow/cli/RunCommand.java
@@ -4,6 +4,7 @@
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import io.chivehollow.runtime.ChivehollowProcess;
 import io.chivehollow.runtime.LogOutput;
@@ -22,6 +23,12 @@
 
     private static final Logger LOG = Logger.getLogger(RunCommand.class);
 
+    @Option(
+            name = "--stop-after-ms",
+            title = "time",
+            description = "Stop by itself after this time, in milliseconds; for checks of an installation")
+    long stopAfterMs;
+
     @Required
     @Arguments(title = "settings", description = "Settings file")
     String file;
@@ -41,6 +48,11 @@
         SettingsWatch.start(Path.of(file), settings, process::setSeeds);
         LOG.infof("Instance %s in failure domain %s has started", settings.instance(), settings.failureDomain());
         try {
+            if (stopAfterMs > 0) {
+                Thread.sleep(stopAfterMs);
+                process.close();
+                return ExitCode.SUCCESS;
+            }
             Thread.currentThread().join();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -48,8 +48,8 @@
     /** A request waits for its team's budget at most this share of its target; later refusals cost the caller. */
     private static final int BUDGET_WAIT_SHARE = 8;
 
-    /** A loan takes one round trip to the leader and sometimes one commit. */
-    private static final long MIN_BUDGET_WAIT_MS = 20;
+    /** A loan takes a round trip and sometimes a commit; a report that is under way delays it by one more. */
+    private static final long MIN_BUDGET_WAIT_MS = 80;
 
     /** Full backend servers have room again after about one request's time. */
     private static final long FULL_RETRY_MS = 300;
@@ -66,6 +66,9 @@
     /** Longest wait of a request that is late anyhow; callers give a stream up after 3.6 s without an event. */
     private static final long MAX_LATE_WAIT_MS = 1_500;
 
+    /** Margin on the caller's estimate of its output, of which half are too low and many are far off. */
+    private static final int ESTIMATE_PERCENT = 160;
+
     private static final long MS_TO_NANOS = 1_000_000;
 
     private final ForwardServices services;
@@ -232,11 +235,11 @@
         });
     }
 
-    /** Returns the memory that the request most likely needs; a run that needs more goes on, but may be preempted. */
+    /** Returns the memory that the request most likely needs; a run that needs more may be preempted. */
     private long memoryTokens() {
         long limit = request.fields().maxOutputTokens();
         long expected = request.fields().expectedOutputTokens();
-        long output = expected == 0 ? limit : Math.min(limit, expected);
+        long output = expected == 0 ? limit : Math.min(limit, expected * ESTIMATE_PERCENT / 100);
         return request.fields().promptTokens() + output;
     }
 
--- a/src/main/java/io/chivehollow/coordination/replica/BudgetReporter.java
+++ b/src/main/java/io/chivehollow/coordination/replica/BudgetReporter.java
@@ -25,7 +25,7 @@
     private static final int NEED_MS = 5;
 
     /** Pause before the next report when the last one did not satisfy all waiting requests. */
-    private static final int STILL_WAITING_MS = 50;
+    private static final int STILL_WAITING_MS = 25;
 
     private static final int RETRY_MS = 50;
 
--- a/src/main/java/io/chivehollow/runtime/ReplicaRole.java
+++ b/src/main/java/io/chivehollow/runtime/ReplicaRole.java
@@ -17,6 +17,7 @@
 import io.chivehollow.settings.ReplicaSettings;
 import io.chivehollow.settings.Settings;
 import io.chivehollow.state.consensus.ConsensusMember;
+import io.chivehollow.state.consensus.ConsensusTimes;
 import io.chivehollow.state.consensus.MemberPolicy;
 import io.chivehollow.state.consensus.ReplicatedLogConfig;
 import io.chivehollow.state.consensus.ReplicatedLogs;
@@ -80,6 +81,7 @@
                         resources.scheduler(),
                         ReplicaRole::onFatal)
                 .withSnapshotEntries(replica.snapshotEntries())
+                .withTimes(ConsensusTimes.ofVoteHold(replica.voteHoldMs()))
                 .withPolicy(policy(replica, directory))
                 .withObserver(metrics);
         ConsensusMember member = ReplicatedLogs.open(config);
--- a/src/main/java/io/chivehollow/settings/ReplicaSettings.java
+++ b/src/main/java/io/chivehollow/settings/ReplicaSettings.java
@@ -12,6 +12,7 @@
  * @param address address at which other processes reach the replica
  * @param dataFolder folder of the log and the snapshots
  * @param members members of the group when its log was first created
+ * @param voteHoldMs time after a leader's message in which the replica does not vote
  * @param snapshotEntries number of entries after which a snapshot is taken
  * @param joining how the replica gets into the group
  * @param maxWeightLoads number of backend servers that may load from the weight store at the same time
@@ -21,9 +22,13 @@
         Path dataFolder,
         List<Member> members,
         Joining joining,
+        int voteHoldMs,
         int snapshotEntries,
         int maxWeightLoads) {
 
+    /** A commit takes milliseconds; the rest is for pauses of a busy machine. */
+    static final int DEFAULT_VOTE_HOLD_MS = 1_000;
+
     public ReplicaSettings {
         members = List.copyOf(members);
     }
@@ -31,7 +36,7 @@
     /** Settings of a replica in a group whose members operators change. */
     public ReplicaSettings(
             InetSocketAddress address, Path dataFolder, List<Member> members, int snapshotEntries, int maxWeightLoads) {
-        this(address, dataFolder, members, Joining.BY_OPERATOR, snapshotEntries, maxWeightLoads);
+        this(address, dataFolder, members, Joining.BY_OPERATOR, DEFAULT_VOTE_HOLD_MS, snapshotEntries, maxWeightLoads);
     }
 
     /** How a replica gets into its group. */
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -254,9 +254,10 @@
                     JsonNodeFactory.instance.textNode(members.toString()),
                     "a list that has this instance, " + instance);
         }
+        int voteHoldMs = reader.wholeNumber("vote_hold_ms", ReplicaSettings.DEFAULT_VOTE_HOLD_MS, 100, 60_000);
         int snapshotEntries = reader.wholeNumber("snapshot_entries", 10_000, 10, 10_000_000);
         int maxWeightLoads = reader.wholeNumber("max_weight_loads", 2, 1, 10_000);
         reader.checkNoOtherFields();
-        return new ReplicaSettings(address, folder, members, joining, snapshotEntries, maxWeightLoads);
+        return new ReplicaSettings(address, folder, members, joining, voteHoldMs, snapshotEntries, maxWeightLoads);
     }
 }
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusTimes.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusTimes.java
@@ -27,8 +27,17 @@
         checkArgument(heartbeatMs * 2 <= leaseMs, "heartbeatMs %s must be at most half of leaseMs", heartbeatMs);
     }
 
+    /**
+     * Returns times for a group whose members are a few milliseconds apart.
+     *
+     * @param voteHoldMs time after a leader's message in which a member does not vote; the other times follow from it
+     */
+    public static ConsensusTimes ofVoteHold(int voteHoldMs) {
+        return new ConsensusTimes(voteHoldMs / 4, voteHoldMs * 3 / 4, voteHoldMs, voteHoldMs, 3_000);
+    }
+
     /** Returns the times of the design. */
     public static ConsensusTimes defaults() {
-        return new ConsensusTimes(250, 750, 1_000, 1_000, 3_000);
+        return ofVoteHold(1_000);
     }
 }
--- a/src/main/java/io/chivehollow/state/consensus/ReplicatedLogConfig.java
+++ b/src/main/java/io/chivehollow/state/consensus/ReplicatedLogConfig.java
@@ -82,20 +82,26 @@
 
     /** Returns this config with another number of entries between snapshots. */
     public ReplicatedLogConfig withSnapshotEntries(int entries) {
-        return with(entries, policy, observer);
+        return with(times, entries, policy, observer);
     }
 
     /** Returns this config with an observer. */
     public ReplicatedLogConfig withObserver(MemberObserver newObserver) {
-        return with(snapshotEntries, policy, newObserver);
+        return with(times, snapshotEntries, policy, newObserver);
     }
 
     /** Returns this config with another way in which members come and go. */
     public ReplicatedLogConfig withPolicy(MemberPolicy newPolicy) {
-        return with(snapshotEntries, newPolicy, observer);
+        return with(times, snapshotEntries, newPolicy, observer);
     }
 
-    private ReplicatedLogConfig with(int entries, MemberPolicy newPolicy, MemberObserver newObserver) {
+    /** Returns this config with other times of the protocol. */
+    public ReplicatedLogConfig withTimes(ConsensusTimes newTimes) {
+        return with(newTimes, snapshotEntries, policy, observer);
+    }
+
+    private ReplicatedLogConfig with(
+            ConsensusTimes newTimes, int entries, MemberPolicy newPolicy, MemberObserver newObserver) {
         return new ReplicatedLogConfig(
                 self,
                 initialMembers,
@@ -105,7 +111,7 @@
                 scheduler,
                 clock,
                 random,
-                times,
+                newTimes,
                 entries,
                 onFatal,
                 newPolicy,
