--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
@@ -68,6 +68,14 @@
         }
     }
 
+    /** Returns the address at which callers are served. */
+    public InetSocketAddress address() {
+        if (serverChannel == null) {
+            throw new IllegalStateException("The ingress does not listen");
+        }
+        return (InetSocketAddress) serverChannel.localAddress();
+    }
+
     private void accept(SocketChannel channel) {
         CallerLimits limits = limits();
         IngressConnection connection = new IngressConnection(this, services, limits);
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -592,6 +592,7 @@
 
     private void onJoin(MemberId from, Join join, long now) {
         JoinReply.Builder reply = JoinReply.newBuilder().setEmpty(isEmpty());
+        members().all().forEach(member -> reply.addMembers(member.instance().value()));
         if (canChangeMembers()) {
             if (!joining.isAdmissible(from, members())) {
                 return;
--- a/src/main/java/io/chivehollow/state/consensus/Joining.java
+++ b/src/main/java/io/chivehollow/state/consensus/Joining.java
@@ -29,6 +29,9 @@
     /** Incarnations of initial members that have reported an empty log. */
     private final Map<InstanceId, Long> emptyMembers = new HashMap<>();
 
+    /** Members that others have named; the group may have changed since this instance was in it. */
+    private final Set<InstanceId> learned = new HashSet<>();
+
     private long lastSentNanos = Progress.NEVER;
     private long nonce;
 
@@ -59,6 +62,7 @@
     Set<InstanceId> targets(Members members) {
         Set<InstanceId> targets = new HashSet<>(config.initialMembers());
         targets.addAll(config.policy().contacts().get());
+        targets.addAll(learned);
         members.all().forEach(member -> targets.add(member.instance()));
         targets.remove(self.instance());
         return targets;
@@ -72,6 +76,10 @@
         if (reply.getNonce() != 0) {
             nonce = reply.getNonce();
         }
+        if (reply.getMembersCount() > 0) {
+            learned.clear();
+            reply.getMembersList().forEach(member -> learned.add(InstanceId.of(member)));
+        }
         if (reply.getEmpty()) {
             emptyMembers.put(from.instance(), from.incarnation());
         } else {
--- /dev/null
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendChoiceTest.java
@@ -0,0 +1,138 @@
+package io.chivehollow.coordination.forwarding.backend;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import io.chivehollow.base.FailureDomain;
+import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
+import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Stage;
+import io.chivehollow.coordination.forwarding.adapter.BackendLoad;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** Guards against requests to backend servers that leave, are out of service, cold, failing or full. */
+public class BackendChoiceTest {
+
+    private static final long MS = 1_000_000;
+
+    private long nowNanos = 77;
+    private final List<BackendEntry> entries = new ArrayList<>();
+    private BackendTable table = BackendTable.create(() -> nowNanos);
+    private BackendChoice choice = BackendChoice.create(table, new Random(1));
+
+    @BeforeMethod
+    public void start() {
+        entries.clear();
+        table = BackendTable.create(() -> nowNanos);
+        choice = BackendChoice.create(table, new Random(1));
+    }
+
+    private void list(String id, Stage stage, String domain, boolean isDraining, long coldLeftMs) {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1000 + entries.size());
+        entries.add(new BackendEntry(id, "s", address, FailureDomain.of(domain), isDraining, coldLeftMs, stage, 8));
+        table.update(entries);
+    }
+
+    private String runner(Set<String> excluded) {
+        return choice.runner("s", excluded, domain -> domain.value().equals("out"), nowNanos)
+                .map(Backend::id)
+                .orElse("none");
+    }
+
+    private Backend backend(String id) {
+        return table.all().stream()
+                .filter(backend -> backend.id().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    @Test
+    public void leavingAndOutOfServiceGetNothing() {
+        list("leaving", Stage.PLAIN, "in", true, 0);
+        list("away", Stage.PLAIN, "out", false, 0);
+        assertEquals(runner(Set.of()), "none");
+        list("good", Stage.PLAIN, "in", false, 0);
+        assertEquals(runner(Set.of()), "good");
+        assertEquals(runner(Set.of("good")), "none");
+    }
+
+    /** A failure must not starve the service when no other server is there. */
+    @Test
+    public void failingServerIsAvoidedOnlyWhileThereAreOthers() {
+        list("a", Stage.PLAIN, "in", false, 0);
+        list("b", Stage.PLAIN, "in", false, 0);
+        backend("a").onFailure(nowNanos);
+        for (int i = 0; i < 20; i++) {
+            assertEquals(runner(Set.of()), "b");
+        }
+        assertEquals(runner(Set.of("b")), "a");
+        nowNanos += 300 * MS;
+        backend("b").onStart(0, 0, nowNanos);
+        assertEquals(runner(Set.of()), "a");
+    }
+
+    /** A cold server crashes above its rate, which all processes share. */
+    @Test
+    public void coldServerGetsFewRequests() {
+        list("cold", Stage.PLAIN, "in", false, 3_000);
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            if (!runner(Set.of()).equals("none")) {
+                backend("cold").onStart(0, 0, nowNanos);
+                sent++;
+            }
+            nowNanos += 10 * MS;
+        }
+        assertEquals(sent, 2);
+        nowNanos += 3_000 * MS;
+        assertEquals(runner(Set.of()), "cold");
+    }
+
+    @Test
+    public void replacedServerIsNotUsedAgain() {
+        list("old", Stage.PLAIN, "in", false, 0);
+        backend("old").onReplaced();
+        table.update(entries);
+        assertEquals(runner(Set.of()), "none");
+    }
+
+    /** What a server says of its load counts while it is new, because other processes send requests, too. */
+    @Test
+    public void reportedLoadCounts() {
+        list("a", Stage.PLAIN, "in", false, 0);
+        list("b", Stage.PLAIN, "in", false, 0);
+        backend("a").onLoad(new BackendLoad(5, 1, 8), nowNanos);
+        backend("b").onStart(0, 0, nowNanos);
+        assertEquals(runner(Set.of()), "b");
+        nowNanos += 1_000 * MS;
+        assertEquals(runner(Set.of()), "a");
+    }
+
+    @Test
+    public void prefillAndDecodeServersAreKeptApart() {
+        list("p", Stage.PREFILL, "in", false, 0);
+        list("d", Stage.DECODE, "in", false, 0);
+        assertEquals(runner(Set.of()), "d");
+        assertEquals(
+                choice.prefill("s", Set.of(), domain -> false, nowNanos)
+                        .map(Backend::id)
+                        .orElse("none"),
+                "p");
+    }
+
+    /** A refused reservation is not asked for again at once, but a smaller one is. */
+    @Test
+    public void fullMemoryIsNotAskedAgainAtOnce() {
+        list("d", Stage.DECODE, "in", false, 0);
+        backend("d").onMemoryFull(5_000, nowNanos);
+        assertEquals(choice.memory("s", 6_000, domain -> false, nowNanos).isPresent(), false);
+        assertEquals(choice.memory("s", 4_000, domain -> false, nowNanos).isPresent(), true);
+        backend("d").onMemoryFreed();
+        assertEquals(choice.memory("s", 6_000, domain -> false, nowNanos).isPresent(), true);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/chivehollow/coordination/forwarding/flow/EventSplitterTest.java
@@ -0,0 +1,61 @@
+package io.chivehollow.coordination.forwarding.flow;
+
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Guards against torn events and against going on after the wrong event. */
+public class EventSplitterTest {
+
+    private EventSplitter splitter = new EventSplitter();
+
+    @BeforeMethod
+    public void start() {
+        splitter = new EventSplitter();
+    }
+
+    private String add(String text) {
+        ByteBuf whole = splitter.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        return whole.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Any cut of the bytes into parts gives the same events, and the id is that of the last whole one. */
+    @Test
+    public void everyCutGivesWholeEvents() {
+        String stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n";
+        String whole = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+        for (int cut = 0; cut <= stream.length(); cut++) {
+            EventSplitter fresh = new EventSplitter();
+            ByteBuf first = fresh.add(Unpooled.copiedBuffer(stream.substring(0, cut), StandardCharsets.UTF_8));
+            ByteBuf second = fresh.add(Unpooled.copiedBuffer(stream.substring(cut), StandardCharsets.UTF_8));
+            String both = first.toString(StandardCharsets.UTF_8) + second.toString(StandardCharsets.UTF_8);
+            assertEquals(both, whole, "cut at " + cut);
+            assertEquals(fresh.lastId(), OptionalLong.of(2), "cut at " + cut);
+            assertTrue(fresh.hasPartial());
+        }
+    }
+
+    @Test
+    public void partOfAnEventIsForgotten() {
+        assertEquals(add("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+        splitter.dropPartial();
+        assertFalse(splitter.hasPartial());
+        assertEquals(splitter.lastId(), OptionalLong.of(1));
+        assertEquals(add("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+        assertEquals(splitter.lastId(), OptionalLong.of(2));
+    }
+
+    @Test
+    public void streamWithoutIdsHasNone() {
+        assertEquals(add("data: a\n\n"), "data: a\n\n");
+        assertEquals(splitter.lastId(), OptionalLong.empty());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/chivehollow/coordination/forwarding/flow/RepeatBudgetTest.java
@@ -0,0 +1,51 @@
+package io.chivehollow.coordination.forwarding.flow;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Guards against repetitions that multiply an overload. */
+public class RepeatBudgetTest {
+
+    private static final long SECOND_NANOS = 1_000_000_000L;
+
+    private long nowNanos;
+    private RepeatBudget budget = new RepeatBudget(() -> nowNanos);
+
+    @BeforeMethod
+    public void start() {
+        budget = new RepeatBudget(() -> nowNanos);
+    }
+
+    private int takeAll(String service) {
+        int taken = 0;
+        while (budget.take(service)) {
+            taken++;
+        }
+        return taken;
+    }
+
+    /** Eight processes that all use what they may stay below a fifth of the requests plus 58 in ten seconds. */
+    @Test
+    public void tenSecondsStayBelowTheSharedLimit() {
+        int requests = 0;
+        int repeats = takeAll("s");
+        for (int step = 0; step < 100; step++) {
+            nowNanos += SECOND_NANOS / 10;
+            budget.onRequest("s");
+            requests++;
+            repeats += takeAll("s");
+        }
+        assertTrue(8 * repeats <= 0.2 * 8 * requests + 58, repeats + " repetitions of " + requests + " requests");
+    }
+
+    @Test
+    public void servicesDoNotShare() {
+        int first = takeAll("a");
+        assertTrue(first > 0);
+        assertEquals(takeAll("b"), first);
+        assertEquals(takeAll("a"), 0);
+    }
+}
--- a/src/test/java/io/chivehollow/state/consensus/SimMember.java
+++ b/src/test/java/io/chivehollow/state/consensus/SimMember.java
@@ -41,6 +41,7 @@
     /** Whether a segment of records was damaged on purpose. */
     boolean hasDamagedRecords;
 
+    private MemberPolicy policy = MemberPolicy.byOperators();
     private boolean isProcessing;
     private long incarnation;
     private int restores;
@@ -66,12 +67,18 @@
         return (long) ((clockNanos - clockOffset) / clockRate);
     }
 
+    /** Sets how this member gets into the group; to be called before its next start. */
+    void setPolicy(MemberPolicy newPolicy) {
+        policy = newPolicy;
+    }
+
     void start(List<InstanceId> members, Set<Mechanism> disabled, int snapshotEntries) {
         generation++;
         restores = 0;
         LogStore.Opened opened = LogStore.open(disk, instance.value(), random);
         incarnation = opened.store().memberState().incarnation();
-        NodeConfig config = new NodeConfig(instance, members, ConsensusTimes.defaults(), SNAPSHOT_PART_BYTES, disabled);
+        NodeConfig config =
+                new NodeConfig(instance, members, ConsensusTimes.defaults(), SNAPSHOT_PART_BYTES, policy, disabled);
         loop = new MemberLoop(config, opened, new Machine(), this::sendTo, new MemberClock(), random, snapshotEntries);
         inbox.clear();
         isProcessing = false;
--- a/src/test/java/io/chivehollow/state/consensus/Simulation.java
+++ b/src/test/java/io/chivehollow/state/consensus/Simulation.java
@@ -29,6 +29,7 @@
     private final List<InstanceId> instances = new ArrayList<>();
     private final Checker checker = new Checker();
     private final boolean[][] isCut;
+    private int initialSize;
     private double dropRate;
     private double delayRate;
     private long now;
@@ -52,9 +53,26 @@
             members.add(member);
             instances.add(member.instance);
         }
+        initialSize = size;
         members.forEach(this::start);
     }
 
+    /** A group of the first members, which the others join by themselves when they are started. */
+    static Simulation automatic(long seed, int initialSize, int size) {
+        Simulation simulation = new Simulation(seed, size, Set.of());
+        simulation.events.clear();
+        simulation.initialSize = initialSize;
+        for (SimMember member : simulation.members) {
+            simulation.loseDisk(member.number);
+            boolean isInitial = member.number < initialSize;
+            member.setPolicy(MemberPolicy.automatic(isInitial, List::of));
+            if (isInitial) {
+                simulation.start(member);
+            }
+        }
+        return simulation;
+    }
+
     ControlState newState() {
         return states.get();
     }
@@ -149,7 +167,7 @@
             return;
         }
         try {
-            member.start(instances, disabled, snapshotEntries);
+            member.start(instances.subList(0, initialSize), disabled, snapshotEntries);
         } catch (SimDisk.CrashException e) {
             member.crash();
             after(100 * MS, () -> start(member));
--- /dev/null
+++ b/src/test/java/io/chivehollow/state/machine/PublishedDeploymentTest.java
@@ -0,0 +1,116 @@
+package io.chivehollow.state.machine;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.chivehollow.protocol.wire.Command;
+import io.chivehollow.protocol.wire.CommandResult;
+import io.chivehollow.protocol.wire.Deployment;
+import io.chivehollow.protocol.wire.PublishDeployment;
+import io.chivehollow.protocol.wire.SetDomain;
+import io.chivehollow.protocol.wire.TeamAccess;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Guards against a deployment that goes back, loses its document, or disturbs what release notes have made. */
+public class PublishedDeploymentTest {
+
+    private ControlState state = ControlState.create();
+    private long index;
+
+    @BeforeMethod
+    public void start() {
+        state = ControlState.create();
+        index = 0;
+    }
+
+    private CommandResult apply(Command command) {
+        try {
+            return CommandResult.parseFrom(state.apply(++index, command.toByteArray()));
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static Command publish(long revision, String team, double rate, String document) {
+        return Command.newBuilder()
+                .setPublishDeployment(PublishDeployment.newBuilder()
+                        .setDeployment(Deployment.newBuilder()
+                                .setRevision(revision)
+                                .addTeams(TeamAccess.newBuilder()
+                                        .setTeam(team)
+                                        .setRatePerSecond(rate)
+                                        .setBurst(rate)))
+                        .setDocument(ByteString.copyFromUtf8(document)))
+                .build();
+    }
+
+    private static Command setDomain(String domain, boolean isOut) {
+        return Command.newBuilder()
+                .setSetDomain(SetDomain.newBuilder().setDomain(domain).setOut(isOut))
+                .build();
+    }
+
+    @Test
+    public void highestRevisionWinsAndOthersAreConfirmed() {
+        assertEquals(apply(publish(7, "red", 10, "seven")).getDeployment().getRevision(), 7);
+        long version = state.released().getVersion();
+        CommandResult older = apply(publish(5, "blue", 20, "five"));
+        CommandResult other = apply(publish(7, "blue", 20, "other content"));
+        assertEquals(older.getErrorCode(), "");
+        assertEquals(other.getErrorCode(), "");
+        assertEquals(other.getDeployment().getRevision(), 7);
+        assertEquals(state.released().getVersion(), version);
+        assertEquals(state.deploymentDocument().toStringUtf8(), "seven");
+        assertEquals(apply(publish(12, "blue", 20, "twelve")).getDeployment().getRevision(), 12);
+        assertEquals(state.released().getVersion(), version + 1);
+        assertEquals(state.deploymentDocument().toStringUtf8(), "twelve");
+    }
+
+    /** Teams of release notes keep their budgets when a deployment replaces its own. */
+    @Test
+    public void deploymentReplacesItsOwnTeamsOnly() {
+        apply(Commands.release("first", 1, Commands.FIRST_NOTE));
+        apply(publish(1, "green", 10, "one"));
+        apply(publish(2, "blue", 20, "two"));
+        assertEquals(
+                state.released().getTeamsList().stream()
+                        .map(team -> team.getId() + " " + team.getRateTokensPerSecond())
+                        .toList()
+                        .toString(),
+                "[red 1000, blue 20]");
+    }
+
+    /** A team without a rate is not limited, so nothing is lent to it. */
+    @Test
+    public void teamWithoutRateHasNoBudget() {
+        apply(publish(1, "green", 0, "one"));
+        assertTrue(state.released().getTeamsList().isEmpty());
+    }
+
+    @Test
+    public void snapshotKeepsDeploymentAndDocument() {
+        apply(publish(3, "red", 10, "three"));
+        apply(setDomain("north", true));
+        ControlState restored = ControlState.create();
+        restored.restore(state.snapshot());
+        assertEquals(restored.released(), state.released());
+        assertEquals(restored.deploymentDocument().toStringUtf8(), "three");
+    }
+
+    /** An order that is sent again must neither fail nor be taken for a change. */
+    @Test
+    public void repeatedDomainChangeChangesNothing() {
+        apply(setDomain("north", true));
+        long version = state.released().getVersion();
+        assertEquals(apply(setDomain("north", true)).getErrorCode(), "");
+        assertEquals(state.released().getVersion(), version);
+        apply(setDomain("north", false));
+        assertFalse(state.released().getDomains(0).getOut());
+        assertEquals(apply(setDomain("elsewhere", false)).getErrorCode(), "");
+        assertEquals(apply(setDomain("", true)).getErrorCode(), "invalid_request");
+    }
+}
