Order surplus prefill servers to make tokens, and keep a prompt's result after a misdirected run

Change: the instance that leads the replicas orders surplus prefill servers to the decode stage, two makers for each reader, with numbers from the log. A prefill prefers the failure domain of its decode server. A prompt's result is kept when the run met another server at its address.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -5,9 +5,11 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
+import io.chivehollow.base.InstanceId;
 import io.chivehollow.base.Scheduler;
 import io.chivehollow.coordination.config.ConfigView;
 import io.chivehollow.coordination.forwarding.adapter.ForwardingAdapter;
@@ -18,6 +20,7 @@
 import io.chivehollow.coordination.forwarding.flow.ForwardMetrics;
 import io.chivehollow.coordination.forwarding.flow.ForwardServices;
 import io.chivehollow.coordination.forwarding.ingress.Ingress;
+import io.chivehollow.coordination.forwarding.stage.StageOrders;
 import io.chivehollow.coordination.gateway.TokenBudget;
 import io.chivehollow.coordination.replica.ControlClient;
 import io.chivehollow.settings.ForwardingSettings;
@@ -61,6 +64,7 @@
             EventLoopGroup eventLoops,
             Scheduler scheduler,
             RandomGenerator random,
+            Leading leading,
             MetricRegistry registry) {
         this.settings = settings;
         this.config = config;
@@ -85,6 +89,15 @@
                 BackendChoice.create(table, random),
                 connections,
                 ForwardMetrics.create(registry));
+        StageOrders.start(
+                leading.instance(),
+                loop,
+                System::nanoTime,
+                leading.leads(),
+                control,
+                adapter.dialect(),
+                table,
+                connections);
         this.ingress = Ingress.start(settings.address(), services);
         this.operators = Endpoint.start(
                 settings.operatorAddress(),
@@ -104,9 +117,10 @@
             EventLoopGroup eventLoops,
             Scheduler scheduler,
             RandomGenerator random,
+            Leading leading,
             MetricRegistry registry) {
         ForwardingRole role =
-                new ForwardingRole(settings, config, control, budget, eventLoops, scheduler, random, registry);
+                new ForwardingRole(settings, config, control, budget, eventLoops, scheduler, random, leading, registry);
         LOG.infof("Requests are forwarded at %s", settings.address());
         return role;
     }
@@ -150,6 +164,14 @@
         readiness.close();
     }
 
+    /**
+     * Tells whether this instance leads the replicas.
+     *
+     * @param instance this instance
+     * @param leads whether it holds the lease of the leader now
+     */
+    public record Leading(InstanceId instance, BooleanSupplier leads) {}
+
     private int openRequests() {
         try {
             return CompletableFuture.supplyAsync(ingress::openRequests, loop).get(1, TimeUnit.SECONDS);
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
@@ -25,6 +25,16 @@
     /** Weighs requests of other processes, whose size is not known; the mean prompt of both sites. */
     private static final double MEAN_REQUEST_TOKENS = 5_000;
 
+    /**
+     * Prompt tokens that may wait rather than be read in another failure domain than that of the decode server.
+     *
+     * <p>A transfer between domains takes twice as long and costs three times as much; 2,000 tokens take 36 ms.
+     */
+    private static final double TRANSFER_TOKENS = 2_000;
+
+    /** Prompts at one server above which a further one waits longer than the half speed of a decode server costs. */
+    private static final int MAX_PROMPTS = 4;
+
     private final BackendTable table;
     private final RandomGenerator random;
 
@@ -56,12 +66,21 @@
         return least(open, backend -> backend.memoryTokens() + backend.requests(nowNanos) * MEAN_REQUEST_TOKENS);
     }
 
-    /** Returns the server that has the fewest prompt tokens to read, if the service has servers for that. */
+    /**
+     * Returns the server that has the fewest prompt tokens to read, rather one in the domain of the target.
+     *
+     * <p>Returns nothing if all have so many prompts that the decode server reads this one sooner itself.
+     */
     public Optional<Backend> prefill(
-            String service, Set<String> excluded, Predicate<FailureDomain> isOut, long nowNanos) {
-        return least(
+            String service, Set<String> excluded, FailureDomain target, Predicate<FailureDomain> isOut, long nowNanos) {
+        List<Backend> readers = filter(
                 candidates(service, Stage.PREFILL, Stage.PREFILL, excluded, isOut, nowNanos),
-                backend -> backend.promptTokens() + backend.requests(nowNanos));
+                backend -> backend.requests(nowNanos) < MAX_PROMPTS);
+        return least(
+                readers,
+                backend -> backend.promptTokens()
+                        + backend.requests(nowNanos)
+                        + (backend.entry().domain().equals(target) ? 0 : TRANSFER_TOKENS));
     }
 
     private List<Backend> candidates(
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -26,6 +26,11 @@
     /** An instance that lost its replicas hears from another one after about this time. */
     private static final long STALE_RETRY_MS = 500;
 
+    /** The environment says that a prefill result expires in under a second. */
+    private static final long DEFAULT_PREFILL_EXPIRY_MS = 800;
+
+    private static final double MS_PER_S = 1_000;
+
     private final ConfigView config;
     private final RandomGenerator random;
     private long tableVersion = -1;
@@ -78,7 +83,8 @@
         }
         String service = RouteTable.target(route.get(), random.nextDouble());
         if (route.get().getOpen() || !routes.get().hasTeams()) {
-            return Optional.of(new Admitted(routes.get().revision(), route.get(), service, null));
+            return Optional.of(
+                    new Admitted(routes.get().revision(), route.get(), service, expiryMs(routes.get(), service), null));
         }
         if (!isFresh) {
             onRefusal.accept(stale("The API keys are not proven to be current"));
@@ -94,7 +100,15 @@
                             : Refusal.of(ErrorCode.INVALID_KEY, "The API key is not valid"));
             return Optional.empty();
         }
-        return Optional.of(new Admitted(routes.get().revision(), route.get(), service, team.get()));
+        return Optional.of(new Admitted(
+                routes.get().revision(), route.get(), service, expiryMs(routes.get(), service), team.get()));
+    }
+
+    private static long expiryMs(RouteTable routes, String service) {
+        double seconds = routes.service(service)
+                .map(found -> found.getEngine().getHandleSeconds())
+                .orElse(0.0);
+        return seconds > 0 ? (long) (seconds * MS_PER_S) : DEFAULT_PREFILL_EXPIRY_MS;
     }
 
     private static Refusal stale(String message) {
@@ -107,9 +121,11 @@
      * @param revision revision of the deployment that admitted it
      * @param route the route
      * @param service the service that the route's weights chose
+     * @param prefillExpiryMs time for which the service keeps the result of a prefill
      * @param access the team; null on open routes
      */
-    record Admitted(long revision, ForwardRoute route, String service, @Nullable TeamAccess access) {
+    record Admitted(
+            long revision, ForwardRoute route, String service, long prefillExpiryMs, @Nullable TeamAccess access) {
 
         Optional<TeamId> limitedTeam() {
             return access == null || access.getRatePerSecond() <= 0
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/AnswerChecks.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/AnswerChecks.java
@@ -16,6 +16,7 @@
 
     static final int OK = 200;
     static final int SERVER_ERROR = 500;
+    static final int MISDIRECTED = 421;
     private static final int REDIRECTION = 300;
 
     private AnswerChecks() {}
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.chivehollow.base.ErrorCode;
@@ -69,6 +70,16 @@
     /** Margin on the caller's estimate of its output, of which half are too low and many are far off. */
     private static final int ESTIMATE_PERCENT = 160;
 
+    /**
+     * Shortest time after which a caller comes back to models without memory.
+     *
+     * <p>Bursts of the sites last four to five seconds; callers that came back after 0.3 s were refused again.
+     */
+    private static final long MIN_FULL_RETRY_MS = 2_000;
+
+    /** Callers wait at most a third of their 14 s. */
+    private static final long FULL_RETRY_SPREAD_MS = 2_500;
+
     private static final long MS_TO_NANOS = 1_000_000;
 
     private final ForwardServices services;
@@ -191,6 +202,7 @@
                     .prefill(
                             now.service(),
                             tried,
+                            memory.backend().entry().domain(),
                             this::isOut,
                             services.nanoTime().getAsLong());
             if (reader.isPresent()) {
@@ -225,7 +237,7 @@
         ticket = services.memory().add(demand, granted -> {
             ticket = null;
             if (granted == null) {
-                fail(ErrorCode.OVERLOADED, "No backend server has memory for " + tokens + " tokens");
+                refuseFull("No backend server has memory for " + tokens + " tokens");
             } else {
                 trace.onOutcome("memory at " + granted.backend().id());
                 reserved = granted;
@@ -243,6 +255,16 @@
         return request.fields().promptTokens() + output;
     }
 
+    /** Spreads the returns of refused callers over the time after which a burst is over. */
+    private void refuseFull(String message) {
+        if (mayHaveRun || relay.hasStarted()) {
+            fail(ErrorCode.OVERLOADED, message);
+            return;
+        }
+        long retryMs = MIN_FULL_RETRY_MS + ThreadLocalRandom.current().nextLong(FULL_RETRY_SPREAD_MS);
+        refuse(Refusal.later(ErrorCode.OVERLOADED, message, retryMs));
+    }
+
     private long waitedMs() {
         return (services.nanoTime().getAsLong() - request.arrivalNanos()) / MS_TO_NANOS;
     }
@@ -296,6 +318,10 @@
             return;
         }
         sends++;
+        if (prefilled != null && services.nanoTime().getAsLong() - prefilled.untilNanos() > 0) {
+            trace.onOutcome("the prefill result has expired");
+            prefilled = null;
+        }
         long prompt = prefilled == null ? request.fields().promptTokens() : 0;
         MemoryReservation memory = reserved;
         Attempt started = new Attempt(backend, prompt, memory == null ? 0 : memory.tokens(), false);
@@ -355,8 +381,8 @@
 
     private void onNotRun(Attempt ended, int status) {
         trace.onOutcome("not run, status " + status);
-        if (prefilled != null) {
-            // The result may have expired or be gone; the next backend server reads the prompt itself.
+        if (prefilled != null && status != AnswerChecks.MISDIRECTED) {
+            // The result may have been fetched or be gone; the next backend server reads the prompt itself.
             freePrefill();
             prefilled = null;
         }
@@ -519,7 +545,7 @@
     }
 
     /** A prompt that was read at a backend server. */
-    private record Prefilled(Backend backend, PrefillResult result, String transferSource) {}
+    private record Prefilled(Backend backend, PrefillResult result, String transferSource, long untilNanos) {}
 
     /** Takes the answer to a prefill. */
     private final class PrefillListener implements BackendListener {
@@ -565,7 +591,9 @@
                 prefilled = new Prefilled(
                         mine.backend,
                         result,
-                        services.dialect().transferSource(mine.backend.entry().addressText(), result.handle()));
+                        services.dialect().transferSource(mine.backend.entry().addressText(), result.handle()),
+                        services.nanoTime().getAsLong()
+                                + TimeUnit.MILLISECONDS.toNanos(admitted().prefillExpiryMs()));
             } catch (IllegalArgumentException e) {
                 trace.onOutcome("the prefill's answer cannot be read: " + e.getMessage());
             }
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -65,6 +65,7 @@
     private final MetricRegistry registry = new MetricRegistry();
     private @Nullable OperationsServer operations;
     private volatile @Nullable ReplicaDirectory replicas;
+    private BooleanSupplier leads = () -> false;
     private volatile boolean isRunning;
 
     private ChivehollowProcess(Settings settings) {
@@ -117,6 +118,7 @@
             ReplicaRole started =
                     part(ReplicaRole.start(settings, replica, resources, connections, directory, registry));
             readiness.add(started::isReady);
+            leads = started::holdsLease;
         }
         GatewaySettings gateway = settings.gateway();
         SidecarSettings sidecar = settings.sidecar();
@@ -175,6 +177,7 @@
                 resources.eventLoops(),
                 resources.scheduler(),
                 new SplittableRandom(),
+                new ForwardingRole.Leading(settings.instance(), leads),
                 registry));
         readiness.add(started::isReady);
     }
--- a/src/main/java/io/chivehollow/runtime/ReplicaRole.java
+++ b/src/main/java/io/chivehollow/runtime/ReplicaRole.java
@@ -117,6 +117,11 @@
         return member.ageMs() <= MAX_AGE_MS;
     }
 
+    /** Returns whether this replica leads, inside its lease. */
+    boolean holdsLease() {
+        return member.holdsLease();
+    }
+
     private static void onFatal(Throwable failure) {
         LOG.fatal("The replica cannot go on; the process ends", failure);
         Runtime.getRuntime().halt(EXIT_STORAGE);
--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendChoiceTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendChoiceTest.java
@@ -119,7 +119,7 @@
         list("d", Stage.DECODE, "in", false, 0);
         assertEquals(runner(Set.of()), "d");
         assertEquals(
-                choice.prefill("s", Set.of(), domain -> false, nowNanos)
+                choice.prefill("s", Set.of(), FailureDomain.of("in"), domain -> false, nowNanos)
                         .map(Backend::id)
                         .orElse("none"),
                 "p");
