--- a/src/main/java/io/chivehollow/cli/RunCommand.java
+++ b/src/main/java/io/chivehollow/cli/RunCommand.java
@@ -33,6 +33,12 @@
     @Arguments(title = "settings", description = "Settings file")
     String file;
 
+    private static void stop(ChivehollowProcess process) {
+        process.close();
+        LOG.info("The process ends");
+        LogOutput.flush();
+    }
+
     @Override
     public int run() {
         Settings settings;
@@ -44,7 +50,7 @@
         }
         LogOutput.configure(settings);
         ChivehollowProcess process = ChivehollowProcess.start(settings);
-        Runtime.getRuntime().addShutdownHook(new Thread(process::close, "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process), "shutdown"));
         SettingsWatch.start(Path.of(file), settings, process::setSeeds);
         LOG.infof("Instance %s in failure domain %s has started", settings.instance(), settings.failureDomain());
         try {
--- a/src/main/java/io/chivehollow/runtime/LogOutput.java
+++ b/src/main/java/io/chivehollow/runtime/LogOutput.java
@@ -1,11 +1,13 @@
 package io.chivehollow.runtime;
 
-import java.util.Iterator;
+import java.util.ArrayList;
+import java.util.List;
 
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.Appender;
+import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.OutputStreamAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import io.chivehollow.settings.LogFormat;
@@ -37,14 +39,35 @@
                 (thread, error) -> LOG.errorf(error, "Thread %s has ended with an error", thread.getName()));
     }
 
+    /** Writes what waits in the queue; to be called once at the end of the process. */
+    public static void flush() {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        long dropped = BoundedAppender.dropped();
+        if (dropped > 0) {
+            LOG.warnf("%d log lines were dropped because the output was too slow", dropped);
+        }
+        context.stop();
+    }
+
+    /** Writes JSON lines to standard output, through a bounded queue that never blocks. */
     private static void useJson(LoggerContext context) {
-        Iterator<Appender<ILoggingEvent>> appenders =
-                context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).iteratorForAppenders();
-        while (appenders.hasNext()) {
-            if (appenders.next() instanceof OutputStreamAppender<ILoggingEvent> appender) {
-                appender.stop();
-                appender.setEncoder(jsonEncoder(context));
-                appender.start();
+        ch.qos.logback.classic.Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        List<Appender<ILoggingEvent>> appenders = new ArrayList<>();
+        root.iteratorForAppenders().forEachRemaining(appenders::add);
+        for (Appender<ILoggingEvent> appender : appenders) {
+            if (appender instanceof OutputStreamAppender<ILoggingEvent> output) {
+                output.stop();
+                output.setEncoder(jsonEncoder(context));
+                if (output instanceof ConsoleAppender<ILoggingEvent> console) {
+                    console.setTarget("System.out");
+                }
+                output.start();
+                root.detachAppender(output);
+                BoundedAppender bounded = new BoundedAppender();
+                bounded.setContext(context);
+                bounded.addAppender(output);
+                bounded.start();
+                root.addAppender(bounded);
             }
         }
     }
