Admit a few requests of each team while no replica lends budgets

Change: each process may use its share of the tolerance that the deployment states, once for each absence.

--- a/src/main/java/io/chivehollow/coordination/budget/BudgetBorrower.java
+++ b/src/main/java/io/chivehollow/coordination/budget/BudgetBorrower.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
+import java.util.function.IntConsumer;
 
 import io.chivehollow.base.Clock;
 import io.chivehollow.base.ErrorCode;
@@ -43,6 +44,7 @@
     private final Function<TeamId, Optional<TeamBudget>> budgets;
     private final Clock clock;
     private final Runnable onNewNeed;
+    private volatile IntConsumer answerListener = borrowers -> {};
     private final List<Map<String, TeamLoans>> shards = new ArrayList<>();
     private final Object reportLock = new Object();
     private @Nullable LendingPeriod period;
@@ -221,8 +223,14 @@
         }
     }
 
+    /** Calls the listener with the number of borrowers in each answer of the lender. */
+    public void onAnswer(IntConsumer listener) {
+        answerListener = listener;
+    }
+
     /** Takes the lender's answer and returns whether requests are waiting for more. */
     public boolean onLoan(Loan loan) {
+        answerListener.accept(loan.getBorrowers());
         synchronized (reportLock) {
             LendingPeriod answered = new LendingPeriod(loan.getTerm(), loan.getLease());
             boolean isOfOpen = open != null && open.sequence == loan.getSequence();
--- a/src/main/java/io/chivehollow/coordination/budget/BudgetLender.java
+++ b/src/main/java/io/chivehollow/coordination/budget/BudgetLender.java
@@ -109,7 +109,8 @@
         Loan.Builder loan = Loan.newBuilder()
                 .setSequence(request.getSequence())
                 .setTerm(period.term())
-                .setLease(period.leaseStartNanos());
+                .setLease(period.leaseStartNanos())
+                .setBorrowers(borrowers.size());
         for (BorrowItem item : request.getItemsList()) {
             Map<String, Bucket> shard = shardOf(item.getTeam());
             synchronized (shard) {
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -17,6 +17,7 @@
 import io.chivehollow.base.TeamId;
 import io.chivehollow.coordination.budget.BudgetBorrower;
 import io.chivehollow.coordination.budget.BudgetOptions;
+import io.chivehollow.coordination.budget.OfflineAllowance;
 import io.chivehollow.coordination.budget.TeamBudget;
 import io.chivehollow.coordination.config.ConfigWatcher;
 import io.chivehollow.coordination.forwarding.ForwardingRole;
@@ -206,7 +207,10 @@
                     }
                 });
         reporter.set(part(BudgetReporter.start(borrower, control, resources.scheduler())));
-        return new BorrowedBudget(borrower, budgets);
+        long toleratedTokens =
+                settings.forwarding() == null ? 0 : settings.forwarding().toleratedTokens();
+        OfflineAllowance allowance = OfflineAllowance.of(toleratedTokens, resources.clock());
+        return new BorrowedBudget(borrower, budgets, allowance, resources.clock());
     }
 
     private void startGateway(
--- a/src/main/java/io/chivehollow/settings/ForwardingSettings.java
+++ b/src/main/java/io/chivehollow/settings/ForwardingSettings.java
@@ -15,6 +15,8 @@
  * @param backendListAddress address of the platform's list of backend servers
  * @param backendListPeriodMs time between two readings of that list
  * @param freshnessMs greatest proven age of the configuration with which requests with an API key are served
+ * @param toleratedTokens tokens by which a team may exceed its rate while no replica lends budgets, at all processes
+ *     together
  * @param shutdownMs longest time that a shutdown waits for open requests
  */
 public record ForwardingSettings(
@@ -26,4 +28,5 @@
         InetSocketAddress backendListAddress,
         int backendListPeriodMs,
         int freshnessMs,
+        long toleratedTokens,
         int shutdownMs) {}
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -173,6 +173,7 @@
                 reader.address("backend_list_address"),
                 reader.wholeNumber("backend_list_period_ms", BACKEND_LIST_PERIOD_MS, 100, 60_000),
                 reader.wholeNumber("freshness_ms", FRESHNESS_MS, 500, 600_000),
+                reader.wholeNumber("tolerated_tokens", 0L, 0L, 1L << 50),
                 reader.wholeNumber("shutdown_ms", FORWARDING_SHUTDOWN_MS, 0, 3_600_000));
         reader.checkNoOtherFields();
         return settings;
--- /dev/null
+++ b/src/test/java/io/chivehollow/coordination/budget/OfflineAllowanceTest.java
@@ -0,0 +1,80 @@
+package io.chivehollow.coordination.budget;
+
+import io.chivehollow.base.Clock;
+import io.chivehollow.base.TeamId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Guards against teams that exceed the tolerance of their rate while the lender is away, again and again. */
+public class OfflineAllowanceTest {
+
+    private static final TeamId RED = TeamId.of("red");
+    private static final long SECOND_NANOS = 1_000_000_000L;
+
+    private long nowNanos;
+    private OfflineAllowance allowance;
+
+    @BeforeMethod
+    public void start() {
+        nowNanos = 5 * SECOND_NANOS;
+        allowance = OfflineAllowance.of(1_000, new Clock() {
+            @Override
+            public long nanoTime() {
+                return nowNanos;
+            }
+
+            @Override
+            public long currentTimeMs() {
+                return 0;
+            }
+        });
+    }
+
+    private int takeAll(TeamId team) {
+        int taken = 0;
+        while (allowance.take(team, 10)) {
+            taken++;
+        }
+        return taken;
+    }
+
+    @Test
+    public void processThatNeverHeardOfTheLenderAdmitsNothing() {
+        assertEquals(takeAll(RED), 0);
+    }
+
+    @Test
+    public void allProcessesTogetherStayWithinTheTolerance() {
+        allowance.onAnswer(8);
+        assertEquals(takeAll(RED), 10);
+        assertTrue(8 * 10 * 10 <= 1_000);
+        assertEquals(takeAll(TeamId.of("blue")), 10);
+    }
+
+    /** Short absences in a row must not add up within one window. */
+    @Test
+    public void allowanceIsWholeOnlyAfterATimeWithAnswers() {
+        allowance.onAnswer(8);
+        takeAll(RED);
+        for (int i = 0; i < 9; i++) {
+            nowNanos += SECOND_NANOS;
+            allowance.onAnswer(8);
+            assertEquals(takeAll(RED), 0);
+        }
+        nowNanos += 2 * SECOND_NANOS;
+        allowance.onAnswer(8);
+        assertEquals(takeAll(RED), 10);
+    }
+
+    @Test
+    public void answerAfterTheQuestionShowsThatTheLenderIsThere() {
+        assertFalse(allowance.hasAnswerSince(0));
+        allowance.onAnswer(1);
+        assertTrue(allowance.hasAnswerSince(nowNanos));
+        assertFalse(allowance.hasAnswerSince(nowNanos + 1));
+    }
+}
--- a/src/test/java/io/chivehollow/runtime/BorrowedBudgetTest.java
+++ b/src/test/java/io/chivehollow/runtime/BorrowedBudgetTest.java
@@ -2,16 +2,20 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.locks.LockSupport;
 
 import io.chivehollow.base.Clock;
 import io.chivehollow.base.InstanceId;
 import io.chivehollow.base.TeamId;
 import io.chivehollow.coordination.budget.BudgetBorrower;
 import io.chivehollow.coordination.budget.BudgetOptions;
+import io.chivehollow.coordination.budget.OfflineAllowance;
 import io.chivehollow.coordination.budget.TeamBudget;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /** Guards against a retry time at which the rate still refuses the request. */
 public class BorrowedBudgetTest {
@@ -19,7 +23,28 @@
     private static BorrowedBudget budget(Optional<TeamBudget> budget) {
         BudgetBorrower borrower = BudgetBorrower.create(
                 InstanceId.of("g"), 1, BudgetOptions.defaults(), team -> budget, Clock.system(), () -> {});
-        return new BorrowedBudget(borrower, team -> budget);
+        return new BorrowedBudget(borrower, team -> budget, OfflineAllowance.of(0, Clock.system()), Clock.system());
+    }
+
+    /** A request within the rate must not be refused because the lender is away for a moment. */
+    @Test
+    public void requestsAreAdmittedWhileTheLenderDoesNotAnswer() {
+        Optional<TeamBudget> budget = Optional.of(new TeamBudget(300, 10_000));
+        BudgetBorrower borrower = BudgetBorrower.create(
+                InstanceId.of("g"), 1, BudgetOptions.defaults(), team -> budget, Clock.system(), () -> {});
+        OfflineAllowance allowance = OfflineAllowance.of(1_000, Clock.system());
+        BorrowedBudget budgets = new BorrowedBudget(borrower, team -> budget, allowance, Clock.system());
+        TeamId team = TeamId.of("t");
+        allowance.onAnswer(8);
+        var first = budgets.reserve(team, 60, 0);
+        LockSupport.parkNanos(5_000_000);
+        borrower.expireWaiting();
+        assertFalse(first.isCompletedExceptionally());
+        assertTrue(first.isDone());
+        var second = budgets.reserve(team, 60, 0);
+        LockSupport.parkNanos(5_000_000);
+        borrower.expireWaiting();
+        assertTrue(second.isCompletedExceptionally());
     }
 
     @Test
