--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -17,9 +17,7 @@
 import io.chivehollow.coordination.forwarding.backend.BackendCall;
 import io.chivehollow.coordination.forwarding.backend.BackendListener;
 import io.chivehollow.coordination.forwarding.backend.ShortAnswer;
-import io.chivehollow.coordination.forwarding.reserve.MemoryDemand;
 import io.chivehollow.coordination.forwarding.reserve.MemoryReservation;
-import io.chivehollow.coordination.forwarding.reserve.MemoryTicket;
 import io.chivehollow.coordination.gateway.TokenBudget.Reservation;
 import io.chivehollow.protocol.wire.RepeatRule;
 import io.netty.buffer.ByteBuf;
@@ -37,9 +35,9 @@
  * The way of one request from its admission to the end of its answer.
  *
  * <p>Invariants: a request that may run once is sent again only after a backend server has stated that it did not run
- * it, or if no byte of it was sent; a status that promises "not run" is sent only if that holds for every backend server
- * to which the request was sent; the answer comes from one run, or from runs of which each goes on after the last event
- * of the one before. Used on the event loop of the forwarding role only.
+ * it, or if no byte of it was sent; a status that promises "not run" is sent only if that holds for every backend
+ * server to which the request was sent; the answer comes from one run, or from runs of which each goes on after the
+ * last event of the one before. Used on the event loop of the forwarding role only.
  */
 public final class ForwardFlow {
 
@@ -61,15 +59,6 @@
     /** Share of its target for which a request waits for a free backend server. */
     private static final int WAIT_SHARE = 4;
 
-    /** Share of the target for which a request waits for memory; the rest is for reading its prompt. */
-    private static final int MEMORY_WAIT_PERCENT = 45;
-
-    /** Longest wait of a request that is late anyhow; callers give a stream up after 3.6 s without an event. */
-    private static final long MAX_LATE_WAIT_MS = 1_500;
-
-    /** Margin on the caller's estimate of its output, of which half are too low and many are far off. */
-    private static final int ESTIMATE_PERCENT = 160;
-
     /**
      * Shortest time after which a caller comes back to models without memory.
      *
@@ -87,6 +76,7 @@
     private final CallerSink sink;
     private final Runnable onOver;
     private final RequestTrace trace;
+    private final MemoryStage memory;
     private final Set<String> tried = new HashSet<>();
     private Admission.@Nullable Admitted admitted;
     private @Nullable Reservation reservation;
@@ -95,8 +85,6 @@
     private @Nullable BackendCall call;
     private @Nullable Attempt attempt;
     private @Nullable Prefilled prefilled;
-    private @Nullable MemoryTicket ticket;
-    private @Nullable MemoryReservation reserved;
     private AnswerRelay relay = AnswerRelay.none();
     private long endNanos;
     private int sends;
@@ -110,7 +98,8 @@
         this.request = request;
         this.sink = sink;
         this.onOver = onOver;
-        this.trace = new RequestTrace(request);
+        this.trace = new RequestTrace(request, services.nanoTime());
+        this.memory = new MemoryStage(services, request, trace);
     }
 
     /** Starts the way of a request; the runnable is run when it has ended. */
@@ -190,19 +179,19 @@
             return;
         }
         Admission.Admitted now = admitted();
-        if (now.route().getGeneration() && reserved == null) {
+        if (now.route().getGeneration() && memory.reserved() == null) {
             reserveMemory(now);
             return;
         }
-        MemoryReservation memory = reserved;
+        MemoryReservation reserved = memory.reserved();
         boolean isNew =
                 request.fields().lastEventId().isEmpty() && relay.lastEventId().isEmpty();
-        if (memory != null && isNew && prefilled == null && !hasTriedPrefill) {
+        if (reserved != null && isNew && prefilled == null && !hasTriedPrefill) {
             Optional<Backend> reader = services.choice()
                     .prefill(
                             now.service(),
                             tried,
-                            memory.backend().entry().domain(),
+                            reserved.backend().entry().domain(),
                             this::isOut,
                             services.nanoTime().getAsLong());
             if (reader.isPresent()) {
@@ -210,8 +199,8 @@
                 return;
             }
         }
-        if (memory != null) {
-            sendRun(memory.backend());
+        if (reserved != null) {
+            sendRun(reserved.backend());
             return;
         }
         Optional<Backend> runner = services.choice()
@@ -223,36 +212,12 @@
         }
     }
 
-    /** Waits for memory; a request that cannot meet its target any more waits longer, but behind the others. */
     private void reserveMemory(Admission.Admitted now) {
         if (sends >= MAX_SENDS) {
             fail(ErrorCode.OVERLOADED, "Backend servers are full");
-            return;
+        } else {
+            memory.request(now, sends > 0, this::isOut, this::next, this::refuseFull);
         }
-        long targetMs = now.route().getTargetMs();
-        boolean isLate = isReturn() || sends > 0 && waitedMs() > targetMs;
-        long maxWaitMs = isLate ? MAX_LATE_WAIT_MS : targetMs * MEMORY_WAIT_PERCENT / 100;
-        long tokens = memoryTokens();
-        MemoryDemand demand = new MemoryDemand(now.service(), tokens, isLate, Math.max(1, maxWaitMs), this::isOut);
-        ticket = services.memory().add(demand, granted -> {
-            ticket = null;
-            if (granted == null) {
-                refuseFull("No backend server has memory for " + tokens + " tokens");
-            } else {
-                trace.onOutcome("memory at " + granted.backend().id());
-                reserved = granted;
-                granted.backend().onReserve(granted.tokens());
-                next();
-            }
-        });
-    }
-
-    /** Returns the memory that the request most likely needs; a run that needs more may be preempted. */
-    private long memoryTokens() {
-        long limit = request.fields().maxOutputTokens();
-        long expected = request.fields().expectedOutputTokens();
-        long output = expected == 0 ? limit : Math.min(limit, expected * ESTIMATE_PERCENT / 100);
-        return request.fields().promptTokens() + output;
     }
 
     /** Spreads the returns of refused callers over the time after which a burst is over. */
@@ -265,29 +230,6 @@
         refuse(Refusal.later(ErrorCode.OVERLOADED, message, retryMs));
     }
 
-    private long waitedMs() {
-        return (services.nanoTime().getAsLong() - request.arrivalNanos()) / MS_TO_NANOS;
-    }
-
-    /** Returns whether the caller has spent a part of its time elsewhere, on an attempt that was refused. */
-    private boolean isReturn() {
-        long deadlineMs = request.fields().deadlineMs().orElse(Long.MAX_VALUE);
-        return deadlineMs + admitted().route().getTargetMs()
-                < admitted().route().getTimeoutMs();
-    }
-
-    private void endReservation(boolean isUsed) {
-        MemoryReservation memory = reserved;
-        if (memory == null) {
-            return;
-        }
-        reserved = null;
-        memory.backend().onReserveEnd(memory.tokens());
-        if (!isUsed) {
-            services.memory().drop(memory);
-        }
-    }
-
     private void waitOrRefuse(String reason) {
         long waitedNanos = services.nanoTime().getAsLong() - request.arrivalNanos();
         boolean mayWait = waitedNanos < admitted().route().getTargetMs() * MS_TO_NANOS / WAIT_SHARE;
@@ -323,12 +265,12 @@
             prefilled = null;
         }
         long prompt = prefilled == null ? request.fields().promptTokens() : 0;
-        MemoryReservation memory = reserved;
-        Attempt started = new Attempt(backend, prompt, memory == null ? 0 : memory.tokens(), false);
+        MemoryReservation reserved = memory.reserved();
+        Attempt started = new Attempt(backend, prompt, reserved == null ? 0 : reserved.tokens(), false);
         begin(started);
         call = services.connections().send(backend, backendRequest(backend, false), new RunListener(started));
         // The run counts its memory itself from here.
-        endReservation(true);
+        memory.end(true);
     }
 
     private void begin(Attempt started) {
@@ -357,7 +299,7 @@
         headers.set(request.headers());
         Admission.Admitted now = admitted();
         Prefilled source = prefilled;
-        MemoryReservation memory = reserved;
+        MemoryReservation reserved = memory.reserved();
         services.dialect()
                 .toBackend(
                         headers,
@@ -368,7 +310,7 @@
                                 now.priority(),
                                 isPrefill,
                                 isPrefill || source == null ? null : source.transferSource(),
-                                isPrefill || memory == null ? null : memory.id(),
+                                isPrefill || reserved == null ? null : reserved.id(),
                                 relay.lastEventId()));
         if (request.body().length > 0 || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
@@ -477,9 +419,6 @@
         if (timeout != null) {
             timeout.cancel(false);
         }
-        if (ticket != null) {
-            ticket.cancel();
-        }
         if (reserving != null) {
             reserving.cancel(false);
         }
@@ -494,7 +433,7 @@
         if (prefilled != null && !wasSent) {
             freePrefill();
         }
-        endReservation(false);
+        memory.cancel();
         services.memory().onFreed(admitted == null ? "" : admitted.service());
         relay.release();
         settle(wasSent);
@@ -528,22 +467,6 @@
         return admitted;
     }
 
-    /** One send to a backend server. */
-    static final class Attempt {
-        final Backend backend;
-        final long promptTokens;
-        final long memoryTokens;
-        final boolean isPrefill;
-        boolean isPromptRead;
-
-        Attempt(Backend backend, long promptTokens, long memoryTokens, boolean isPrefill) {
-            this.backend = backend;
-            this.promptTokens = promptTokens;
-            this.memoryTokens = memoryTokens;
-            this.isPrefill = isPrefill;
-        }
-    }
-
     /** A prompt that was read at a backend server. */
     private record Prefilled(Backend backend, PrefillResult result, String transferSource, long untilNanos) {}
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
@@ -1,5 +1,7 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.function.LongSupplier;
+
 import org.jboss.logging.Logger;
 
 /**
@@ -17,10 +19,12 @@
     private static final int MAX_CHARS = 1_500;
 
     private final ForwardRequest request;
+    private final LongSupplier nanoTime;
     private final StringBuilder steps = new StringBuilder();
 
-    RequestTrace(ForwardRequest request) {
+    RequestTrace(ForwardRequest request, LongSupplier nanoTime) {
         this.request = request;
+        this.nanoTime = nanoTime;
     }
 
     void onAdmitted(Admission.Admitted admitted) {
@@ -46,7 +50,7 @@
     }
 
     private long sinceArrivalMs() {
-        return (System.nanoTime() - request.arrivalNanos()) / NANOS_TO_MS;
+        return (nanoTime.getAsLong() - request.arrivalNanos()) / NANOS_TO_MS;
     }
 
     void write(String outcome, long totalNanos) {
