Divide the rates of cold servers and the budget of repetitions by the number of processes

Cause: each process had a fixed share, made for 8 and 29 processes; 29 processes could send 58 requests/s to a cold server that tolerates 8.8. Change: the lender tells how many borrowers report; both shares follow from it.

--- a/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
+++ b/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
@@ -56,6 +56,11 @@
         borrowers = Math.max(borrowers, knownBorrowers);
     }
 
+    /** Returns the greatest number of borrowers that the lender has reported, or a small number before that. */
+    public synchronized int borrowers() {
+        return borrowers;
+    }
+
     /** Returns whether the lender has answered since the time. */
     public synchronized boolean hasAnswerSince(long sinceNanos) {
         return hasAnswer && lastAnswerNanos - sinceNanos >= 0;
--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
@@ -64,7 +65,7 @@
             EventLoopGroup eventLoops,
             Scheduler scheduler,
             RandomGenerator random,
-            Leading leading,
+            InstanceContext context,
             MetricRegistry registry) {
         this.settings = settings;
         this.config = config;
@@ -86,14 +87,15 @@
                 adapter.dialect(),
                 Admission.create(config, random),
                 budget,
-                BackendChoice.create(table, random),
+                BackendChoice.create(table, random, context.processes()),
                 connections,
+                context.processes(),
                 ForwardMetrics.create(registry));
         StageOrders.start(
-                leading.instance(),
+                context.instance(),
                 loop,
                 System::nanoTime,
-                leading.leads(),
+                context.leads(),
                 control,
                 adapter.dialect(),
                 table,
@@ -117,10 +119,10 @@
             EventLoopGroup eventLoops,
             Scheduler scheduler,
             RandomGenerator random,
-            Leading leading,
+            InstanceContext context,
             MetricRegistry registry) {
         ForwardingRole role =
-                new ForwardingRole(settings, config, control, budget, eventLoops, scheduler, random, leading, registry);
+                new ForwardingRole(settings, config, control, budget, eventLoops, scheduler, random, context, registry);
         LOG.infof("Requests are forwarded at %s", settings.address());
         return role;
     }
@@ -165,12 +167,13 @@
     }
 
     /**
-     * Tells whether this instance leads the replicas.
+     * This instance among the others.
      *
      * @param instance this instance
      * @param leads whether it holds the lease of the leader now
+     * @param processes number of processes that forward requests
      */
-    public record Leading(InstanceId instance, BooleanSupplier leads) {}
+    public record InstanceContext(InstanceId instance, BooleanSupplier leads, IntSupplier processes) {}
 
     private int openRequests() {
         try {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -19,8 +20,10 @@
  */
 public final class BackendChoice {
 
-    /** Time between two requests to a cold backend server from one process; several processes share its rate. */
-    private static final long COLD_PAUSE_NANOS = 500_000_000L;
+    /** Requests per second that all processes send to a cold backend server; the sites tolerate 6.9 and 8.8. */
+    private static final double COLD_REQUESTS_PER_SECOND = 6;
+
+    private static final double NANOS_PER_SECOND = 1e9;
 
     /** Weighs requests of other processes, whose size is not known; the mean prompt of both sites. */
     private static final double MEAN_REQUEST_TOKENS = 5_000;
@@ -37,15 +40,23 @@
 
     private final BackendTable table;
     private final RandomGenerator random;
+    private final IntSupplier processes;
 
-    private BackendChoice(BackendTable table, RandomGenerator random) {
+    private BackendChoice(BackendTable table, RandomGenerator random, IntSupplier processes) {
+        this.processes = processes;
         this.table = table;
         this.random = random;
     }
 
-    /** Returns a choice among the servers of the table. */
-    public static BackendChoice create(BackendTable table, RandomGenerator random) {
-        return new BackendChoice(table, random);
+    /**
+     * Returns a choice among the servers of the table.
+     *
+     * @param table the servers
+     * @param random draws among equal servers
+     * @param processes number of processes that share the rates of cold servers
+     */
+    public static BackendChoice create(BackendTable table, RandomGenerator random, IntSupplier processes) {
+        return new BackendChoice(table, random, processes);
     }
 
     /** Returns the server of the service that runs the fewest requests, other than the excluded ones. */
@@ -109,7 +120,12 @@
         if (!warm.isEmpty()) {
             return warm;
         }
-        return filter(usable, backend -> nowNanos - backend.lastColdSendNanos() > COLD_PAUSE_NANOS);
+        return filter(usable, backend -> nowNanos - backend.lastColdSendNanos() > coldPauseNanos());
+    }
+
+    /** Returns the pause of one process between two requests to a cold server, whose rate all processes share. */
+    private double coldPauseNanos() {
+        return processes.getAsInt() / COLD_REQUESTS_PER_SECOND * NANOS_PER_SECOND;
     }
 
     private static List<Backend> filter(List<Backend> backends, Predicate<Backend> condition) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
@@ -1,5 +1,6 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 import io.chivehollow.coordination.forwarding.adapter.Dialect;
@@ -37,7 +38,7 @@
         RepeatBudget repeats,
         ForwardMetrics metrics) {
 
-    /** Returns services with a full budget of repetitions. */
+    /** Returns services with a full budget of repetitions, which so many processes share. */
     public static ForwardServices of(
             EventLoop loop,
             LongSupplier nanoTime,
@@ -46,6 +47,7 @@
             TokenBudget budget,
             BackendChoice choice,
             BackendConnections connections,
+            IntSupplier processes,
             ForwardMetrics metrics) {
         return new ForwardServices(
                 loop,
@@ -56,7 +58,7 @@
                 choice,
                 connections,
                 MemoryQueue.create(loop, nanoTime, dialect, choice, connections),
-                new RepeatBudget(nanoTime),
+                new RepeatBudget(nanoTime, processes),
                 metrics);
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RepeatBudget.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RepeatBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -16,22 +17,26 @@
     /** Share of the own requests; below the fifth that the sites allow, since requests are counted in windows. */
     private static final double SHARE = 0.15;
 
-    /** Repetitions that time alone earns; 29 processes earn 58 of the 90 that the largest site adds in ten seconds. */
-    private static final double PER_SECOND = 0.2;
+    /** Repetitions per second that time alone earns, at all processes; with the saved ones below the 58 in 10 s. */
+    private static final double PER_SECOND = 2.4;
 
-    /** Repetitions that may be saved; 8 processes with this many stay below the 58 of the smallest site. */
-    private static final double MAX_SAVED = 4;
+    /** Repetitions that may be saved at all processes together. */
+    private static final double MAX_SAVED = 32;
+
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final LongSupplier nanoTime;
+    private final IntSupplier processes;
     private final Map<String, Account> accounts = new HashMap<>();
 
-    RepeatBudget(LongSupplier nanoTime) {
+    RepeatBudget(LongSupplier nanoTime, IntSupplier processes) {
         this.nanoTime = nanoTime;
+        this.processes = processes;
     }
 
     void onRequest(String service) {
         Account account = account(service);
-        account.units = Math.min(MAX_SAVED, account.units + SHARE);
+        account.units = Math.min(maxSaved(), account.units + SHARE);
     }
 
     /** Takes one repetition if there is one. */
@@ -44,20 +49,27 @@
         return true;
     }
 
+    /** Returns what this process may save; a request that fails first must be repeatable at any number of processes. */
+    private double maxSaved() {
+        return Math.max(1, MAX_SAVED / processes.getAsInt());
+    }
+
     private Account account(String service) {
         long now = nanoTime.getAsLong();
-        Account account = accounts.computeIfAbsent(service, id -> new Account(now));
-        account.units = Math.min(MAX_SAVED, account.units + (now - account.updatedNanos) / 1e9 * PER_SECOND);
+        Account account = accounts.computeIfAbsent(service, id -> new Account(maxSaved(), now));
+        double seconds = (now - account.updatedNanos) / NANOS_PER_SECOND;
+        account.units = Math.min(maxSaved(), account.units + seconds * PER_SECOND / processes.getAsInt());
         account.updatedNanos = now;
         return account;
     }
 
     /** What is left for one service. */
     private static final class Account {
-        private double units = MAX_SAVED;
+        private double units;
         private long updatedNanos;
 
-        Account(long nowNanos) {
+        Account(double saved, long nowNanos) {
+            units = saved;
             updatedNanos = nowNanos;
         }
     }
--- a/src/main/java/io/chivehollow/runtime/BorrowedBudget.java
+++ b/src/main/java/io/chivehollow/runtime/BorrowedBudget.java
@@ -63,6 +63,11 @@
         return reservation;
     }
 
+    /** Returns about how many processes share budgets and the rates of cold backend servers. */
+    int processes() {
+        return allowance.borrowers();
+    }
+
     /** Admits a request that got no loan because the lender has not answered; it was not over the rate then. */
     private Reservation withoutLender(TeamId team, long tokens, long startNanos, Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -178,7 +178,7 @@
                 resources.eventLoops(),
                 resources.scheduler(),
                 new SplittableRandom(),
-                new ForwardingRole.Leading(settings.instance(), leads),
+                new ForwardingRole.InstanceContext(settings.instance(), leads, budget::processes),
                 registry));
         readiness.add(started::isReady);
     }
