Give up calls to backend servers that have gone silent

Ruled out: the connect timeout, which covers new connections only.

Change: reservations and other short calls end after 250 ms, a prefill after 1 s; then another server is asked, or the decode server reads the prompt itself.

--- a/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
+++ b/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
@@ -11,7 +11,8 @@
  * Admits a few requests of each team while the lender does not answer.
  *
  * <p>A deployment may tolerate that a team exceeds its rate by some tokens. This process may use its share of them,
- * once for each time that the lender is away, so that requests within the rate are not refused during an election.
+ * once for each time that the lender is unreachable, so that requests within the rate are not refused during an
+ * election.
  *
  * <p>Invariant: between two times of {@link #RECOVERY_NANOS} with answers, at most the share of one process is admitted
  * for a team; a process that has never heard from the lender admits nothing. Thread-safe.
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -1,8 +1,12 @@
 package io.chivehollow.coordination.forwarding.backend;
 
+import java.util.concurrent.TimeUnit;
+
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,6 +21,7 @@
     private final Backend backend;
     final BackendListener listener;
     private @Nullable Channel channel;
+    private @Nullable ScheduledFuture<?> timer;
     private boolean isOver;
     private long idleTimeoutMs = -1;
 
@@ -31,6 +36,22 @@
         open.writeAndFlush(request);
     }
 
+    void failAfter(EventLoop loop, int timeoutMs) {
+        if (!isOver) {
+            timer = loop.schedule(
+                    () -> fail(Failure.NO_ANSWER, "no answer within " + timeoutMs + " ms"),
+                    timeoutMs,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void end() {
+        isOver = true;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
     boolean isOver() {
         return isOver;
     }
@@ -43,7 +64,7 @@
     /** Gives the request up; closing the connection makes the backend server stop its work. */
     public void cancel() {
         if (!isOver) {
-            isOver = true;
+            end();
             if (channel != null) {
                 channel.close();
             }
@@ -54,7 +75,7 @@
         if (isOver) {
             return;
         }
-        isOver = true;
+        end();
         if (canKeep && channel != null) {
             connections.keep(backend, channel, idleTimeoutMs);
         } else if (channel != null) {
@@ -67,7 +88,7 @@
         if (isOver) {
             return;
         }
-        isOver = true;
+        end();
         if (channel != null) {
             channel.close();
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
@@ -84,11 +84,11 @@
      */
     public Optional<Backend> prefill(
             String service, Set<String> excluded, FailureDomain target, Predicate<FailureDomain> isOut, long nowNanos) {
-        List<Backend> readers = filter(
+        List<Backend> open = filter(
                 candidates(service, Stage.PREFILL, Stage.PREFILL, excluded, isOut, nowNanos),
                 backend -> backend.requests(nowNanos) < MAX_PROMPTS);
         return least(
-                readers,
+                open,
                 backend -> backend.promptTokens()
                         + backend.requests(nowNanos)
                         + (backend.entry().domain().equals(target) ? 0 : TRANSFER_TOKENS));
@@ -113,9 +113,9 @@
             }
         }
         List<Backend> warm = filter(usable, backend -> !backend.isCold(nowNanos));
-        List<Backend> sound = filter(warm, backend -> !backend.isSuspect(nowNanos));
-        if (!sound.isEmpty()) {
-            return sound;
+        List<Backend> healthy = filter(warm, backend -> !backend.isSuspect(nowNanos));
+        if (!healthy.isEmpty()) {
+            return healthy;
         }
         if (!warm.isEmpty()) {
             return warm;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -92,6 +92,17 @@
         return call;
     }
 
+    /**
+     * Sends a request that is given up if no complete answer has come in the time.
+     *
+     * <p>A server that has gone silent closes nothing, so only a timer shows it.
+     */
+    public BackendCall send(Backend backend, FullHttpRequest request, BackendListener listener, int timeoutMs) {
+        BackendCall call = send(backend, request, listener);
+        call.failAfter(loop, timeoutMs);
+        return call;
+    }
+
     private @Nullable Channel takeIdle(Backend backend) {
         long now = nanoTime.getAsLong();
         for (IdleConnection next = backend.idle.pollFirst(); next != null; next = backend.idle.pollFirst()) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortAnswer.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortAnswer.java
@@ -18,6 +18,9 @@
     /** Stands for an answer that did not come. */
     public static final int NO_STATUS = 0;
 
+    /** Answers to the router's own calls take a round trip, some milliseconds; the rest is for a busy server. */
+    public static final int TIMEOUT_MS = 250;
+
     /** Answers to the router's own calls have a few short fields. */
     private static final int MAX_BYTES = 65_536;
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -69,6 +69,9 @@
     /** Callers wait at most a third of their 14 s. */
     private static final long FULL_RETRY_SPREAD_MS = 2_500;
 
+    /** Four prompts that wait, and the own, take up to 1 s at the longest; then the decode server reads it itself. */
+    private static final int PREFILL_TIMEOUT_MS = 1_000;
+
     private static final long MS_TO_NANOS = 1_000_000;
 
     private final ForwardServices services;
@@ -187,15 +190,15 @@
         boolean isNew =
                 request.fields().lastEventId().isEmpty() && relay.lastEventId().isEmpty();
         if (reserved != null && isNew && prefilled == null && !hasTriedPrefill) {
-            Optional<Backend> reader = services.choice()
+            Optional<Backend> prefillServer = services.choice()
                     .prefill(
                             now.service(),
                             tried,
                             reserved.backend().entry().domain(),
                             this::isOut,
                             services.nanoTime().getAsLong());
-            if (reader.isPresent()) {
-                sendPrefill(reader.get());
+            if (prefillServer.isPresent()) {
+                sendPrefill(prefillServer.get());
                 return;
             }
         }
@@ -250,7 +253,8 @@
         long prompt = request.fields().promptTokens();
         Attempt started = new Attempt(backend, prompt, 0, true);
         begin(started);
-        call = services.connections().send(backend, backendRequest(backend, true), new PrefillListener(started));
+        call = services.connections()
+                .send(backend, backendRequest(backend, true), new PrefillListener(started), PREFILL_TIMEOUT_MS);
     }
 
     private void sendRun(Backend backend) {
@@ -369,7 +373,8 @@
                     .send(
                             source.backend,
                             services.dialect().freePrefill(source.backend.id(), source.result.handle()),
-                            new ShortAnswer((status, body) -> trace.note("prefill freed")));
+                            new ShortAnswer((status, body) -> trace.note("prefill freed")),
+                            ShortAnswer.TIMEOUT_MS);
         }
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -85,7 +85,8 @@
         connections.send(
                 reservation.backend(),
                 dialect.dropReservation(reservation.backend().id(), reservation.id()),
-                new ShortAnswer((status, body) -> LOG.debugf("A reservation was dropped: %d", status)));
+                new ShortAnswer((status, body) -> LOG.debugf("A reservation was dropped: %d", status)),
+                ShortAnswer.TIMEOUT_MS);
     }
 
     /** Tries again at once after a request has ended, which has freed memory. */
@@ -156,7 +157,8 @@
             connections.send(
                     backend,
                     dialect.reserve(backend.id(), tokens, RESERVATION_MS),
-                    new ShortAnswer((status, body) -> onAnswer(ticket, backend, status, body)));
+                    new ShortAnswer((status, body) -> onAnswer(ticket, backend, status, body)),
+                    ShortAnswer.TIMEOUT_MS);
         }
 
         private void onAnswer(MemoryTicket ticket, Backend backend, int status, byte[] body) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/StageOrders.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/StageOrders.java
@@ -42,6 +42,9 @@
     /** A changed server is back after 6 s, and the list lags; an order without an answer may act 12 s later. */
     private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(15);
 
+    /** Servers accept an order at once; one without an answer may still be carried out. */
+    private static final int ORDER_TIMEOUT_MS = 1_000;
+
     private static final int PERIOD_MS = 500;
     private static final Logger LOG = Logger.getLogger(StageOrders.class);
 
@@ -146,6 +149,7 @@
                 backend.get(),
                 dialect.changeStage(change.backendServer(), change.stage(), instance.value(), number),
                 new ShortAnswer((status, body) ->
-                        LOG.infof("Backend server %s answers the order with %d", change.backendServer(), status)));
+                        LOG.infof("Backend server %s answers the order with %d", change.backendServer(), status)),
+                ORDER_TIMEOUT_MS);
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/StagePlanner.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/StagePlanner.java
@@ -15,16 +15,16 @@
  * Decides which backend server of a service should change between reading prompts and making tokens.
  *
  * <p>Answers the load of both sites: a prompt of 5,000 tokens is read in 94 ms, and its output then holds 5,700 tokens
- * of memory for two to three seconds. The memory of the servers that make tokens is full long before those that read
- * prompts are busy. Pure; stateless and thread-safe.
+ * of memory for two to three seconds. The memory of decode servers is full long before prefill servers are busy. Pure;
+ * stateless and thread-safe.
  */
 public final class StagePlanner {
 
     /**
-     * Servers that make tokens for each that reads prompts.
+     * Decode servers for each prefill server.
      *
-     * <p>One reader serves 10 requests/s and a maker 3 to 4. With three makers each, one of six servers read prompts,
-     * and a burst of 15 requests/s had to be read at half speed by the makers.
+     * <p>A prefill server serves 10 requests/s and a decode server 3 to 4. With a ratio of three, one of six servers
+     * was a prefill server, and the decode servers had to read a part of each burst of 15 requests/s at half speed.
      */
     private static final int DECODE_PER_PREFILL = 2;
 
@@ -47,12 +47,12 @@
     }
 
     private static Optional<StageChange> nextOfService(List<BackendEntry> servers) {
-        long readers = servers.stream()
+        long prefillServers = servers.stream()
                 .filter(server -> server.stage() == Stage.PREFILL)
                 .count();
         long wanted = Math.max(1, servers.size() / (DECODE_PER_PREFILL + 1));
-        if (readers <= wanted) {
-            // A service with too few readers still works: servers that make tokens read prompts, too.
+        if (prefillServers <= wanted) {
+            // A service with too few prefill servers still works: decode servers read prompts, too.
             return Optional.empty();
         }
         return servers.stream()
--- a/src/main/java/io/chivehollow/runtime/BorrowedBudget.java
+++ b/src/main/java/io/chivehollow/runtime/BorrowedBudget.java
@@ -25,8 +25,8 @@
 
     private static final long MS_PER_S = 1_000;
 
-    /** Reports are answered each half second; two without an answer mean that the lender is away. */
-    private static final long AWAY_NANOS = 1_200_000_000L;
+    /** Reports are answered each half second; two without an answer mean that the lender is unreachable. */
+    private static final long LENDER_SILENCE_NANOS = 1_200_000_000L;
 
     private final OfflineAllowance allowance;
     private final Clock clock;
@@ -48,8 +48,8 @@
     @Override
     public CompletableFuture<Reservation> reserve(TeamId team, long tokens, long waitMs) {
         long startNanos = clock.nanoTime();
-        boolean isAway = !allowance.hasAnswerSince(startNanos - AWAY_NANOS);
-        if (isAway && allowance.take(team, tokens)) {
+        boolean isUnreachable = !allowance.hasAnswerSince(startNanos - LENDER_SILENCE_NANOS);
+        if (isUnreachable && allowance.take(team, tokens)) {
             return CompletableFuture.completedFuture(actualTokens -> {});
         }
         var charge = borrower.reserve(team, tokens, waitMs);
