Use what exists for refusals, header fields and short answers

Found in a reading of the change; only the bodies of the router's own errors differ: they are now the error object of the product's own interface (ErrorBody), with not_run and the request id, not a second one.

- Names of fields of one connection stand once (ConnectionHeaders) for the gateway and the forwarding ingress.
- One collector of small bodies; short answers are bounded by 16 KB, not 64.
- Connections to backend servers share one Bootstrap, not one for each.
- The forwarding role takes its parts in a record, as the gateway does, not in nine parameters twice.
- Whether a request may have run is decided in one method; a method of the relay that repeated another, an unused parameter and an unused method go.
- 'runner' and 'site' give way to the terms of the product.

--- a/src/main/java/io/chivehollow/coordination/budget/BudgetOptions.java
+++ b/src/main/java/io/chivehollow/coordination/budget/BudgetOptions.java
@@ -16,7 +16,7 @@
 public record BudgetOptions(
         long validMs, long countAsSpentMs, long newLeaderPauseMs, long refundMarginMs, int advanceDivisor) {
 
-    /** 64 borrowers hold the burst at most once; the largest site has 31 that forward requests. */
+    /** 64 borrowers hold the burst at most once; the largest deployment has 31 that forward requests. */
     private static final int SMALL_BURST_DIVISOR = 64;
 
     public BudgetOptions {
--- a/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
+++ b/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
@@ -25,7 +25,7 @@
     /** Part of the tolerance that is used; the rest is for requests that arrive later than they were admitted. */
     private static final double USED_SHARE = 0.8;
 
-    /** A new leader knows few borrowers at first; the smaller sites have six to eight processes. */
+    /** A new leader knows few borrowers at first; the smaller deployments have six to eight processes. */
     private static final int MIN_BORROWERS = 8;
 
     private final long toleratedTokens;
--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -5,13 +5,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.BooleanSupplier;
-import java.util.function.IntSupplier;
-import java.util.random.RandomGenerator;
 
-import com.codahale.metrics.MetricRegistry;
-import io.chivehollow.base.InstanceId;
-import io.chivehollow.base.Scheduler;
 import io.chivehollow.coordination.config.ConfigView;
 import io.chivehollow.coordination.forwarding.adapter.ForwardingAdapter;
 import io.chivehollow.coordination.forwarding.backend.BackendChoice;
@@ -22,11 +16,8 @@
 import io.chivehollow.coordination.forwarding.flow.ForwardServices;
 import io.chivehollow.coordination.forwarding.ingress.Ingress;
 import io.chivehollow.coordination.forwarding.stage.StageOrders;
-import io.chivehollow.coordination.gateway.TokenBudget;
-import io.chivehollow.coordination.replica.ControlClient;
 import io.chivehollow.settings.ForwardingSettings;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
 import org.jboss.logging.Logger;
 
 /**
@@ -57,72 +48,56 @@
     private final Endpoint readiness;
     private volatile boolean isStopping;
 
-    private ForwardingRole(
-            ForwardingSettings settings,
-            ConfigView config,
-            ControlClient control,
-            TokenBudget budget,
-            EventLoopGroup eventLoops,
-            Scheduler scheduler,
-            RandomGenerator random,
-            InstanceContext context,
-            MetricRegistry registry) {
+    private ForwardingRole(ForwardingSettings settings, ForwardingContext context) {
         this.settings = settings;
-        this.config = config;
-        this.loop = eventLoops.next();
+        this.config = context.config();
+        this.loop = context.eventLoops().next();
         ForwardingAdapter adapter = adapter(settings.adapter());
         BackendTable table = BackendTable.create(System::nanoTime);
         BackendConnections connections = BackendConnections.create(loop, System::nanoTime);
         this.list = new BackendListReader(
-                adapter.backendList(settings.backendListAddress(), new NettyHttpFetcher(eventLoops)),
+                adapter.backendList(settings.backendListAddress(), new NettyHttpFetcher(context.eventLoops())),
                 table,
                 connections,
                 loop,
-                scheduler,
+                context.scheduler(),
                 settings.backendListPeriodMs());
         list.start();
         ForwardServices services = ForwardServices.of(
                 loop,
                 System::nanoTime,
                 adapter.dialect(),
-                Admission.create(config, random),
-                budget,
-                BackendChoice.create(table, random, context.processes()),
+                Admission.create(config, context.random()),
+                context.budget(),
+                BackendChoice.create(table, context.random(), context.processes()),
                 connections,
                 context.processes(),
-                ForwardMetrics.create(registry));
+                ForwardMetrics.create(context.registry()));
         StageOrders.start(
                 context.instance(),
                 loop,
                 System::nanoTime,
                 context.leads(),
-                control,
+                context.control(),
                 adapter.dialect(),
                 table,
                 connections);
         this.ingress = Ingress.start(settings.address(), services);
         this.operators = Endpoint.start(
                 settings.operatorAddress(),
-                eventLoops,
+                context.eventLoops(),
                 MAX_DOCUMENT_BYTES,
-                adapter.operatorHandler(new ReplicatedActions(control)));
+                adapter.operatorHandler(new ReplicatedActions(context.control())));
         this.readiness = Endpoint.start(
-                settings.readinessAddress(), eventLoops, MAX_READINESS_BYTES, adapter.readinessHandler(this::isReady));
+                settings.readinessAddress(),
+                context.eventLoops(),
+                MAX_READINESS_BYTES,
+                adapter.readinessHandler(this::isReady));
     }
 
     /** Starts the role. */
-    public static ForwardingRole start(
-            ForwardingSettings settings,
-            ConfigView config,
-            ControlClient control,
-            TokenBudget budget,
-            EventLoopGroup eventLoops,
-            Scheduler scheduler,
-            RandomGenerator random,
-            InstanceContext context,
-            MetricRegistry registry) {
-        ForwardingRole role =
-                new ForwardingRole(settings, config, control, budget, eventLoops, scheduler, random, context, registry);
+    public static ForwardingRole start(ForwardingSettings settings, ForwardingContext context) {
+        ForwardingRole role = new ForwardingRole(settings, context);
         LOG.infof("Requests are forwarded at %s", settings.address());
         return role;
     }
@@ -166,15 +141,6 @@
         readiness.close();
     }
 
-    /**
-     * This instance among the others.
-     *
-     * @param instance this instance
-     * @param leads whether it holds the lease of the leader now
-     * @param processes number of processes that forward requests
-     */
-    public record InstanceContext(InstanceId instance, BooleanSupplier leads, IntSupplier processes) {}
-
     private int openRequests() {
         try {
             return CompletableFuture.supplyAsync(ingress::openRequests, loop).get(1, TimeUnit.SECONDS);
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
@@ -1,6 +1,7 @@
 package io.chivehollow.coordination.forwarding.backend;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -20,12 +21,12 @@
  */
 public final class BackendChoice {
 
-    /** Requests per second that all processes send to a cold backend server; the sites tolerate 6.9 and 8.8. */
+    /** Requests per second that all processes send to a cold backend server; the deployments tolerate 6.9 and 8.8. */
     private static final double COLD_REQUESTS_PER_SECOND = 6;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /** Weighs requests of other processes, whose size is not known; the mean prompt of both sites. */
+    /** Weighs requests of other processes, whose size is not known; the mean prompt of both deployments. */
     private static final double MEAN_REQUEST_TOKENS = 5_000;
 
     /**
@@ -60,10 +61,10 @@
     }
 
     /** Returns the server of the service that runs the fewest requests, other than the excluded ones. */
-    public Optional<Backend> runner(
+    public Optional<Backend> server(
             String service, Set<String> excluded, Predicate<FailureDomain> isOut, long nowNanos) {
         return least(
-                candidates(service, Stage.PLAIN, Stage.DECODE, excluded, isOut, nowNanos),
+                candidates(service, EnumSet.of(Stage.PLAIN, Stage.DECODE), excluded, isOut, nowNanos),
                 backend -> backend.stage() == Stage.DECODE
                         ? backend.memoryTokens() + backend.requests(nowNanos)
                         : backend.requests(nowNanos));
@@ -72,7 +73,7 @@
     /** Returns the server that most likely has the memory, if any has not refused so much just now. */
     public Optional<Backend> memory(String service, long tokens, Predicate<FailureDomain> isOut, long nowNanos) {
         List<Backend> open = filter(
-                candidates(service, Stage.DECODE, Stage.DECODE, Set.of(), isOut, nowNanos),
+                candidates(service, EnumSet.of(Stage.DECODE), Set.of(), isOut, nowNanos),
                 backend -> !backend.lacksMemory(tokens, nowNanos));
         return least(open, backend -> backend.memoryTokens() + backend.requests(nowNanos) * MEAN_REQUEST_TOKENS);
     }
@@ -85,7 +86,7 @@
     public Optional<Backend> prefill(
             String service, Set<String> excluded, FailureDomain target, Predicate<FailureDomain> isOut, long nowNanos) {
         List<Backend> open = filter(
-                candidates(service, Stage.PREFILL, Stage.PREFILL, excluded, isOut, nowNanos),
+                candidates(service, EnumSet.of(Stage.PREFILL), excluded, isOut, nowNanos),
                 backend -> backend.requests(nowNanos) < MAX_PROMPTS);
         return least(
                 open,
@@ -95,16 +96,10 @@
     }
 
     private List<Backend> candidates(
-            String service,
-            Stage stage,
-            Stage otherStage,
-            Set<String> excluded,
-            Predicate<FailureDomain> isOut,
-            long nowNanos) {
+            String service, Set<Stage> stages, Set<String> excluded, Predicate<FailureDomain> isOut, long nowNanos) {
         List<Backend> usable = new ArrayList<>();
         for (Backend backend : table.all()) {
-            boolean isWanted = backend.stage() == stage || backend.stage() == otherStage;
-            if (isWanted
+            if (stages.contains(backend.stage())
                     && backend.isUsable()
                     && backend.entry().service().equals(service)
                     && !excluded.contains(backend.id())
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -43,10 +43,24 @@
 
     private final EventLoop loop;
     private final LongSupplier nanoTime;
+    private final Bootstrap bootstrap;
 
     private BackendConnections(EventLoop loop, LongSupplier nanoTime) {
         this.loop = loop;
         this.nanoTime = nanoTime;
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(new BackendHandler());
+                    }
+                });
     }
 
     /** Returns connections on the event loop. */
@@ -63,19 +77,6 @@
             call.write(kept, request);
             return call;
         }
-        Bootstrap bootstrap = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline()
-                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                .addLast(new BackendHandler());
-                    }
-                });
         ChannelFuture connecting = bootstrap.connect(backend.entry().address());
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
@@ -76,9 +76,4 @@
     public Collection<Backend> all() {
         return byId.values();
     }
-
-    /** Returns whether a list has been read. */
-    public boolean isEmpty() {
-        return byId.isEmpty();
-    }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/BodyCollector.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BodyCollector.java
@@ -1,4 +1,4 @@
-package io.chivehollow.coordination.forwarding.flow;
+package io.chivehollow.coordination.forwarding.backend;
 
 import java.io.ByteArrayOutputStream;
 
@@ -10,21 +10,23 @@
  *
  * <p>Not thread-safe. Data beyond the limit is dropped, which makes the body unreadable.
  */
-final class BodyCollector {
+public final class BodyCollector {
 
-    /** The answer to a prefill has three short fields. */
+    /** Answers to the router's own calls, and to a prefill, have a few short fields. */
     private static final int MAX_BYTES = 16_384;
 
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
 
-    void add(ByteBuf data) {
+    /** Adds a part of the body, which is released. */
+    public void add(ByteBuf data) {
         if (collected.size() + data.readableBytes() <= MAX_BYTES) {
             collected.writeBytes(ByteBufUtil.getBytes(data));
         }
         data.release();
     }
 
-    byte[] bytes() {
+    /** Returns what has been collected. */
+    public byte[] bytes() {
         return collected.toByteArray();
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortAnswer.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortAnswer.java
@@ -1,9 +1,6 @@
 package io.chivehollow.coordination.forwarding.backend;
 
-import java.io.ByteArrayOutputStream;
-
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponse;
 import org.jboss.logging.Logger;
 
@@ -21,13 +18,10 @@
     /** Answers to the router's own calls take a round trip, some milliseconds; the rest is for a busy server. */
     public static final int TIMEOUT_MS = 250;
 
-    /** Answers to the router's own calls have a few short fields. */
-    private static final int MAX_BYTES = 65_536;
-
     private static final Logger LOG = Logger.getLogger(ShortAnswer.class);
 
     private final Receiver receiver;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BodyCollector body = new BodyCollector();
     private int status;
 
     /** Returns a listener that hands the whole answer to the receiver. */
@@ -42,15 +36,12 @@
 
     @Override
     public void onData(ByteBuf data) {
-        if (body.size() + data.readableBytes() <= MAX_BYTES) {
-            body.writeBytes(ByteBufUtil.getBytes(data));
-        }
-        data.release();
+        body.add(data);
     }
 
     @Override
     public void onEnd() {
-        receiver.onAnswer(status, body.toByteArray());
+        receiver.onAnswer(status, body.bytes());
     }
 
     @Override
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/AnswerRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/AnswerRelay.java
@@ -25,17 +25,12 @@
     /** Drops what cannot be passed on because the answer broke off. */
     void onBroken();
 
-    /** Returns whether the caller has got a part of the answer. */
+    /** Returns whether the caller has got a part of the answer; the relay then takes that of the next server, too. */
     boolean hasStarted();
 
     /** Returns whether another backend server can go on where this answer broke off. */
     boolean canGoOn();
 
-    /** Returns whether this relay takes the answer of the next backend server, too. */
-    default boolean isContinued() {
-        return hasStarted();
-    }
-
     /** Returns the last event that the caller has got. */
     OptionalLong lastEventId();
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/CallerSink.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/CallerSink.java
@@ -23,6 +23,6 @@
     /** Ends an answer so that the caller sees that it is not complete, or that there is none. */
     void abort();
 
-    /** Sends an answer of the router's own; a negative time leaves out when to come back. */
-    void refuse(int status, String code, String message, long retryAfterMs);
+    /** Sends an answer of the router's own. */
+    void refuse(Refusal refusal);
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -16,6 +16,7 @@
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendCall;
 import io.chivehollow.coordination.forwarding.backend.BackendListener;
+import io.chivehollow.coordination.forwarding.backend.BodyCollector;
 import io.chivehollow.coordination.forwarding.backend.ShortAnswer;
 import io.chivehollow.coordination.forwarding.reserve.MemoryReservation;
 import io.chivehollow.coordination.gateway.TokenBudget.Reservation;
@@ -62,7 +63,7 @@
     /**
      * Shortest time after which a caller comes back to models without memory.
      *
-     * <p>Bursts of the sites last four to five seconds; callers that came back after 0.3 s were refused again.
+     * <p>Bursts of the deployments last four to five seconds; callers that came back after 0.3 s were refused again.
      */
     private static final long MIN_FULL_RETRY_MS = 2_000;
 
@@ -206,12 +207,12 @@
             sendRun(reserved.backend());
             return;
         }
-        Optional<Backend> runner = services.choice()
-                .runner(now.service(), tried, this::isOut, services.nanoTime().getAsLong());
-        if (runner.isPresent() && sends < MAX_SENDS) {
-            sendRun(runner.get());
+        Optional<Backend> server = services.choice()
+                .server(now.service(), tried, this::isOut, services.nanoTime().getAsLong());
+        if (server.isPresent() && sends < MAX_SENDS) {
+            sendRun(server.get());
         } else {
-            waitOrRefuse(runner.isPresent() ? "Backend servers are full" : "No backend server is available");
+            waitOrRefuse(server.isPresent() ? "Backend servers are full" : "No backend server is available");
         }
     }
 
@@ -325,7 +326,7 @@
 
     // Outcomes of a run.
 
-    private void onNotRun(Attempt ended, int status) {
+    private void onNotRun(int status) {
         trace.onOutcome("not run, status " + status);
         if (prefilled != null && status != AnswerChecks.MISDIRECTED) {
             // The result may have been fetched or be gone; the next backend server reads the prompt itself.
@@ -389,26 +390,30 @@
         if (isOver) {
             return;
         }
-        boolean wasSent = mayHaveRun || (attempt != null && !attempt.isPrefill);
         if (relay.hasStarted()) {
             trace.onOutcome("cut off: " + message);
             end("aborted");
             sink.abort();
-        } else if (wasSent) {
+        } else if (isRunPossible()) {
             ErrorCode known = code == ErrorCode.DEADLINE_EXCEEDED ? code : ErrorCode.BACKEND_FAILED;
-            refuse(Refusal.of(known, message));
+            refuse(Refusal.mayHaveRun(known, message));
         } else {
             refuse(Refusal.later(ErrorCode.OVERLOADED, message, FULL_RETRY_MS));
         }
     }
 
+    /** Returns whether a backend server may have run the request, or may run it now. */
+    private boolean isRunPossible() {
+        return mayHaveRun || (attempt != null && !attempt.isPrefill);
+    }
+
     private void refuse(Refusal refusal) {
         if (isOver) {
             return;
         }
         trace.onOutcome(refusal.code().wireName() + ": " + refusal.message());
         end(refusal.code().wireName());
-        sink.refuse(refusal.code().httpStatus(), refusal.code().wireName(), refusal.message(), refusal.retryAfterMs());
+        sink.refuse(refusal);
     }
 
     /** Gives the request up because its caller has left. */
@@ -427,7 +432,7 @@
         if (reserving != null) {
             reserving.cancel(false);
         }
-        boolean wasSent = mayHaveRun || (attempt != null && !attempt.isPrefill);
+        boolean wasSent = isRunPossible();
         Attempt open = attempt;
         if (open != null) {
             if (call != null) {
@@ -577,7 +582,7 @@
                 }
                 runs--;
             }
-            if (!relay.isContinued()) {
+            if (!relay.hasStarted()) {
                 HttpHeaders headers = head.headers().copy();
                 services.dialect().toCaller(headers);
                 relay = AnswerRelay.of(admitted().route(), status, headers, sink, this::onFirstByte);
@@ -604,7 +609,7 @@
             endAttempt(mine);
             if (isNotRun && fields != null) {
                 AnswerChecks.onRefused(services, mine.backend, fields);
-                onNotRun(mine, status);
+                onNotRun(status);
             } else if (isDiscarded) {
                 trace.onOutcome("status " + status + ", repeated");
                 services.metrics().onRepeat("status");
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RepeatBudget.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RepeatBudget.java
@@ -14,7 +14,7 @@
  */
 final class RepeatBudget {
 
-    /** Share of the own requests; below the fifth that the sites allow, since requests are counted in windows. */
+    /** Share of the own requests; below the fifth that the deployments allow, since requests are counted in windows. */
     private static final double SHARE = 0.15;
 
     /** Repetitions per second that time alone earns, at all processes; with the saved ones below the 58 in 10 s. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/ConnectionFields.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/ConnectionFields.java
@@ -1,8 +1,9 @@
 package io.chivehollow.coordination.forwarding.ingress;
 
-import java.util.List;
+import java.util.HashSet;
+import java.util.Set;
 
-import com.google.common.base.Splitter;
+import io.chivehollow.protocol.ConnectionHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -13,29 +14,14 @@
  */
 final class ConnectionFields {
 
-    private static final List<CharSequence> FIELDS = List.of(
-            HttpHeaderNames.CONNECTION,
-            "Keep-Alive",
-            HttpHeaderNames.PROXY_AUTHENTICATE,
-            HttpHeaderNames.PROXY_AUTHORIZATION,
-            "Proxy-Connection",
-            HttpHeaderNames.TE,
-            HttpHeaderNames.TRAILER,
-            HttpHeaderNames.TRANSFER_ENCODING,
-            HttpHeaderNames.UPGRADE,
-            HttpHeaderNames.EXPECT);
-
-    private static final Splitter LIST = Splitter.on(',').trimResults().omitEmptyStrings();
-
     private ConnectionFields() {}
 
     /** Returns a copy without the fields of the connection and those that its Connection field names. */
     static HttpHeaders without(HttpHeaders headers) {
+        Set<String> removed = new HashSet<>(ConnectionHeaders.NAMES);
+        headers.getAll(HttpHeaderNames.CONNECTION).forEach(value -> ConnectionHeaders.addNamed(value, removed));
         HttpHeaders copy = headers.copy();
-        for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
-            LIST.split(value).forEach(copy::remove);
-        }
-        FIELDS.forEach(copy::remove);
+        removed.forEach(copy::remove);
         return copy;
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
@@ -1,6 +1,5 @@
 package io.chivehollow.coordination.forwarding.ingress;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -10,6 +9,8 @@
 import io.chivehollow.coordination.forwarding.flow.ForwardFlow;
 import io.chivehollow.coordination.forwarding.flow.ForwardRequest;
 import io.chivehollow.coordination.forwarding.flow.ForwardServices;
+import io.chivehollow.coordination.forwarding.flow.Refusal;
+import io.chivehollow.protocol.openai.ErrorBody;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -58,6 +59,7 @@
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
     private @Nullable ForwardFlow flow;
+    private String requestId = "";
     private boolean isBusy;
     private boolean isKeepAlive;
     private boolean isBroken;
@@ -120,6 +122,7 @@
     private void onHead(ChannelHandlerContext read, HttpRequest request) {
         read.pipeline().get(RequestTimer.class).onHeader(read);
         head = request;
+        requestId = "";
         body = Unpooled.buffer(0);
         isKeepAlive = HttpUtil.isKeepAlive(request);
         canSendChunks = request.protocolVersion().isKeepAliveDefault();
@@ -174,6 +177,8 @@
                 bytes,
                 services.dialect().readRequest(headers),
                 firstByteNanos);
+        String stated = forwarded.fields().requestId();
+        requestId = stated == null ? "" : stated;
         ForwardFlow started = ForwardFlow.start(services, forwarded, this, () -> flow = null);
         if (isBusy) {
             flow = started;
@@ -215,17 +220,18 @@
     }
 
     @Override
-    public void refuse(int status, String code, String message, long retryAfterMs) {
-        byte[] text = ("{\"error\":{\"code\":\"" + code + "\",\"message\":\"" + message + "\"}}")
-                .getBytes(StandardCharsets.UTF_8);
+    public void refuse(Refusal refusal) {
+        byte[] text = new ErrorBody(refusal.code(), refusal.message(), refusal.isNotRun(), requestId).toBytes();
         FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(text));
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(refusal.code().httpStatus()),
+                Unpooled.wrappedBuffer(text));
         response.headers()
                 .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, text.length);
-        if (retryAfterMs >= 0) {
+        if (refusal.retryAfterMs() != Refusal.NO_TIME) {
             response.headers()
-                    .set(HttpHeaderNames.RETRY_AFTER, services.dialect().retryAfter(retryAfterMs));
+                    .set(HttpHeaderNames.RETRY_AFTER, services.dialect().retryAfter(refusal.retryAfterMs()));
         }
         setConnection(response);
         finish(response);
@@ -240,7 +246,7 @@
             body = null;
         }
         head = null;
-        refuse(code.httpStatus(), code.wireName(), message, -1);
+        refuse(Refusal.of(code, message));
     }
 
     private void setConnection(HttpResponse response) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -28,7 +28,7 @@
  */
 public final class MemoryQueue {
 
-    /** A reservation lasts from the grant until the prompt has been read; the sites keep one for at most 2 s. */
+    /** A reservation lasts from the grant until the prompt has been read; the deployments keep one for at most 2 s. */
     private static final int RESERVATION_MS = 2_000;
 
     /** Questions that are open at the same time for one service; each takes a round trip of a few milliseconds. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/StageOrders.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/StageOrders.java
@@ -33,7 +33,7 @@
  */
 public final class StageOrders {
 
-    /** Time for which an instance must have led; another leader's orders count for 3 s on both sites. */
+    /** Time for which an instance must have led; another leader's orders count for 3 s in both deployments. */
     private static final long LED_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     /** Time for which the list must have been the same, so that a system that starts is seen as a whole. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/StagePlanner.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/StagePlanner.java
@@ -14,9 +14,9 @@
 /**
  * Decides which backend server of a service should change between reading prompts and making tokens.
  *
- * <p>Answers the load of both sites: a prompt of 5,000 tokens is read in 94 ms, and its output then holds 5,700 tokens
- * of memory for two to three seconds. The memory of decode servers is full long before prefill servers are busy. Pure;
- * stateless and thread-safe.
+ * <p>Answers the load of both deployments: a prompt of 5,000 tokens is read in 94 ms, and its output then holds 5,700
+ * tokens of memory for two to three seconds. The memory of decode servers is full long before prefill servers are busy.
+ * Pure; stateless and thread-safe.
  */
 public final class StagePlanner {
 
--- a/src/main/java/io/chivehollow/coordination/gateway/PlainHeaders.java
+++ b/src/main/java/io/chivehollow/coordination/gateway/PlainHeaders.java
@@ -7,7 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 
-import com.google.common.base.Splitter;
+import com.google.common.collect.Sets;
+import io.chivehollow.protocol.ConnectionHeaders;
 import io.chivehollow.protocol.wire.Header;
 import io.micronaut.http.HttpHeaders;
 
@@ -18,20 +19,9 @@
  */
 final class PlainHeaders {
 
-    /** Headers of one connection (RFC 9110, section 7.6.1), and those that the next hop writes itself. */
-    private static final Set<String> OF_ONE_HOP = Set.of(
-            "connection",
-            "keep-alive",
-            "proxy-connection",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "content-length",
-            "expect",
-            "host");
+    /** Headers of one connection, and those that the next hop writes itself. */
+    private static final Set<String> OF_ONE_HOP = Sets.union(ConnectionHeaders.NAMES, Set.of("content-length", "host"))
+            .immutableCopy();
 
     /** Credentials for the gateway, which no backend server may see, and the id that the gateway sets. */
     private static final Set<String> OF_GATEWAY = Set.of("authorization", "x-api-key", "cookie", "x-request-id");
@@ -44,7 +34,7 @@
         if (removeCredentials) {
             removed.addAll(OF_GATEWAY);
         }
-        headers.getAll("Connection").forEach(value -> addNames(value, removed));
+        headers.getAll("Connection").forEach(value -> ConnectionHeaders.addNamed(value, removed));
         List<Header> passed = new ArrayList<>();
         for (Map.Entry<String, List<String>> header : headers) {
             if (removed.contains(header.getKey().toLowerCase(Locale.ROOT))) {
@@ -66,17 +56,11 @@
         removed.add("x-request-id");
         for (Header header : headers) {
             if (header.getName().equalsIgnoreCase("Connection")) {
-                addNames(header.getValue(), removed);
+                ConnectionHeaders.addNamed(header.getValue(), removed);
             }
         }
         return headers.stream()
                 .filter(header -> !removed.contains(header.getName().toLowerCase(Locale.ROOT)))
                 .toList();
     }
-
-    private static void addNames(String connectionHeader, Set<String> names) {
-        for (String name : Splitter.on(',').trimResults().split(connectionHeader)) {
-            names.add(name.toLowerCase(Locale.ROOT));
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/io/chivehollow/protocol/package-info.java
@@ -0,0 +1,5 @@
+/** What several protocols share. */
+@NullMarked
+package io.chivehollow.protocol;
+
+import org.jspecify.annotations.NullMarked;
--- a/src/main/java/io/chivehollow/runtime/BoundedAppender.java
+++ b/src/main/java/io/chivehollow/runtime/BoundedAppender.java
@@ -13,7 +13,7 @@
  */
 final class BoundedAppender extends AsyncAppender {
 
-    /** About four seconds of one line a request at the peak of the largest site, 2 MB. */
+    /** About four seconds of one line a request at the peak of the largest deployment, 2 MB. */
     private static final int QUEUED_EVENTS = 4_096;
 
     private static final LongAdder DROPPED = new LongAdder();
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -20,6 +20,7 @@
 import io.chivehollow.coordination.budget.OfflineAllowance;
 import io.chivehollow.coordination.budget.TeamBudget;
 import io.chivehollow.coordination.config.ConfigWatcher;
+import io.chivehollow.coordination.forwarding.ForwardingContext;
 import io.chivehollow.coordination.forwarding.ForwardingRole;
 import io.chivehollow.coordination.gateway.GatewayRole;
 import io.chivehollow.coordination.gateway.GatewayServices;
@@ -170,16 +171,18 @@
             TransportOptions options = TransportOptions.of(settings.instance(), "forwarding", settings.secret());
             part(FrameServer.start(forwarding.peerAddress(), options, resources.eventLoops(), directory));
         }
-        ForwardingRole started = part(ForwardingRole.start(
-                forwarding,
+        ForwardingContext context = new ForwardingContext(
+                settings.instance(),
+                leads,
+                budget::processes,
                 config,
                 control,
                 budget,
                 resources.eventLoops(),
                 resources.scheduler(),
                 new SplittableRandom(),
-                new ForwardingRole.InstanceContext(settings.instance(), leads, budget::processes),
-                registry));
+                registry);
+        ForwardingRole started = part(ForwardingRole.start(forwarding, context));
         readiness.add(started::isReady);
     }
 
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -51,7 +51,7 @@
     /** Withdrawn keys stop working within 5 s; 2 s are for the request to be sent and for timers. */
     private static final int FRESHNESS_MS = 3_000;
 
-    /** The sites give a process 8 s after SIGTERM; the rest is for the replica to hand over. */
+    /** The deployments give a process 8 s after SIGTERM; the rest is for the replica to hand over. */
     private static final int FORWARDING_SHUTDOWN_MS = 7_000;
 
     private static final JsonMapper MAPPER = JsonMapper.builder()
--- a/src/test/java/io/chivehollow/coordination/budget/BudgetBorrowerTest.java
+++ b/src/test/java/io/chivehollow/coordination/budget/BudgetBorrowerTest.java
@@ -92,4 +92,25 @@
         time.runUntilMs(time.nowNanos() / TimeUnit.MILLISECONDS.toNanos(1) + 3_001);
         assertFalse(borrower.reserve(TEAM, 1, 60_000).isDone());
     }
+
+    /** Returns what is held in advance a second after a request that costs so many tokens. */
+    private long heldInAdvance(BudgetOptions options, long tokens) {
+        borrower =
+                BudgetBorrower.create(InstanceId.of("gateway"), 2, options, this::budgetOf, time.clock(1, 0), () -> {});
+        borrower.reserve(TEAM, tokens, 60_000);
+        exchange();
+        time.runUntilMs(time.nowNanos() / TimeUnit.MILLISECONDS.toNanos(1) + 1_000);
+        return borrower.nextReport().getItemsList().stream()
+                .mapToLong(item -> item.getWantedTokens() + item.getHeldTokens())
+                .sum();
+    }
+
+    /** Guards against many borrowers that each hold the cost of one large request, which is the whole burst. */
+    @Test
+    public void smallBurstsAreNotHeldInAdvanceForLargeRequests() {
+        assertTrue(heldInAdvance(BudgetOptions.defaults(), 300) > 0);
+        assertEquals(heldInAdvance(BudgetOptions.forSmallBursts(), 300), 0);
+        long forSmallRequests = heldInAdvance(BudgetOptions.forSmallBursts(), 10);
+        assertTrue(forSmallRequests <= 1_000 / 64, forSmallRequests + " tokens");
+    }
 }
--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendChoiceTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendChoiceTest.java
@@ -39,8 +39,8 @@
         table.update(entries);
     }
 
-    private String runner(Set<String> excluded) {
-        return choice.runner("s", excluded, domain -> domain.value().equals("out"), nowNanos)
+    private String server(Set<String> excluded) {
+        return choice.server("s", excluded, domain -> domain.value().equals("out"), nowNanos)
                 .map(Backend::id)
                 .orElse("none");
     }
@@ -56,10 +56,10 @@
     public void leavingAndOutOfServiceGetNothing() {
         list("leaving", Stage.PLAIN, "in", true, 0);
         list("away", Stage.PLAIN, "out", false, 0);
-        assertEquals(runner(Set.of()), "none");
+        assertEquals(server(Set.of()), "none");
         list("good", Stage.PLAIN, "in", false, 0);
-        assertEquals(runner(Set.of()), "good");
-        assertEquals(runner(Set.of("good")), "none");
+        assertEquals(server(Set.of()), "good");
+        assertEquals(server(Set.of("good")), "none");
     }
 
     /** A failure must not starve the service when no other server is there. */
@@ -69,12 +69,12 @@
         list("b", Stage.PLAIN, "in", false, 0);
         backend("a").onFailure(nowNanos);
         for (int i = 0; i < 20; i++) {
-            assertEquals(runner(Set.of()), "b");
+            assertEquals(server(Set.of()), "b");
         }
-        assertEquals(runner(Set.of("b")), "a");
+        assertEquals(server(Set.of("b")), "a");
         nowNanos += 300 * MS;
         backend("b").onStart(0, 0, nowNanos);
-        assertEquals(runner(Set.of()), "a");
+        assertEquals(server(Set.of()), "a");
     }
 
     /** A cold server crashes above its rate, which all processes share. */
@@ -83,7 +83,7 @@
         list("cold", Stage.PLAIN, "in", false, 6_000);
         int sent = 0;
         for (int i = 0; i < 400; i++) {
-            if (!runner(Set.of()).equals("none")) {
+            if (!server(Set.of()).equals("none")) {
                 backend("cold").onStart(0, 0, nowNanos);
                 sent++;
             }
@@ -92,7 +92,7 @@
         assertTrue(8 * sent <= 4 * 6 + 8, sent + " requests of one of eight processes in 4 s");
         assertTrue(sent >= 2, sent + " requests");
         nowNanos += 3_000 * MS;
-        assertEquals(runner(Set.of()), "cold");
+        assertEquals(server(Set.of()), "cold");
     }
 
     @Test
@@ -100,7 +100,7 @@
         list("old", Stage.PLAIN, "in", false, 0);
         backend("old").onReplaced();
         table.update(entries);
-        assertEquals(runner(Set.of()), "none");
+        assertEquals(server(Set.of()), "none");
     }
 
     /** What a server says of its load counts while it is new, because other processes send requests, too. */
@@ -110,16 +110,16 @@
         list("b", Stage.PLAIN, "in", false, 0);
         backend("a").onLoad(new BackendLoad(5, 1, 8), nowNanos);
         backend("b").onStart(0, 0, nowNanos);
-        assertEquals(runner(Set.of()), "b");
+        assertEquals(server(Set.of()), "b");
         nowNanos += 1_000 * MS;
-        assertEquals(runner(Set.of()), "a");
+        assertEquals(server(Set.of()), "a");
     }
 
     @Test
     public void prefillAndDecodeServersAreKeptApart() {
         list("p", Stage.PREFILL, "in", false, 0);
         list("d", Stage.DECODE, "in", false, 0);
-        assertEquals(runner(Set.of()), "d");
+        assertEquals(server(Set.of()), "d");
         assertEquals(
                 choice.prefill("s", Set.of(), FailureDomain.of("in"), domain -> false, nowNanos)
                         .map(Backend::id)
