Write first output and longest pause into the line of a request

Cause: a stream is late if its first event or a pause is late, and the line of a request had neither, so late streams could not be traced to memory, prefill or preemption. Ruled out: metrics, which do not lead from an id to a cause. Change: the trace notes the first output and, at the end, the longest pause and when it ended.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -601,6 +601,9 @@
                 data.release();
             } else {
                 relay.data(data);
+                if (relay.hasStarted()) {
+                    trace.onOutput();
+                }
             }
         }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
@@ -21,6 +21,10 @@
     private final ForwardRequest request;
     private final LongSupplier nanoTime;
     private final StringBuilder steps = new StringBuilder();
+    private boolean hasOutput;
+    private long lastOutputNanos;
+    private long longestPauseNanos;
+    private long longestPauseEndMs;
 
     RequestTrace(ForwardRequest request, LongSupplier nanoTime) {
         this.request = request;
@@ -43,6 +47,19 @@
         note(sinceArrivalMs() + " ms " + outcome);
     }
 
+    /** Records that a part of the answer was passed on; the first one and the longest pause are written. */
+    void onOutput() {
+        long now = nanoTime.getAsLong();
+        if (!hasOutput) {
+            hasOutput = true;
+            note(sinceArrivalMs() + " ms first output");
+        } else if (now - lastOutputNanos > longestPauseNanos) {
+            longestPauseNanos = now - lastOutputNanos;
+            longestPauseEndMs = sinceArrivalMs();
+        }
+        lastOutputNanos = now;
+    }
+
     void note(String step) {
         if (steps.length() < MAX_CHARS) {
             steps.append(steps.length() == 0 ? "" : "; ").append(step);
@@ -54,6 +71,9 @@
     }
 
     void write(String outcome, long totalNanos) {
+        if (longestPauseNanos > 0) {
+            note("longest pause " + longestPauseNanos / NANOS_TO_MS + " ms, until " + longestPauseEndMs + " ms");
+        }
         LOG.infof(
                 "request_id=%s outcome=%s total_ms=%d steps=[%s]",
                 request.fields().requestId(), outcome, totalNanos / NANOS_TO_MS, steps);
