Lend half of a deployment's tolerance as burst of its teams

Change: half of `tolerated_tokens` is added to the burst of each team of a deployment; the share for times without a lender goes from 0.8 to 0.4, so that both stay below nine tenths of the tolerance.

--- a/src/main/java/io/chivehollow/coordination/budget/BudgetLender.java
+++ b/src/main/java/io/chivehollow/coordination/budget/BudgetLender.java
@@ -16,6 +16,7 @@
 import io.chivehollow.protocol.wire.LoanItem;
 import io.chivehollow.protocol.wire.Refund;
 import io.chivehollow.protocol.wire.SavedBudget;
+import io.chivehollow.protocol.wire.Team;
 import io.chivehollow.protocol.wire.TeamUse;
 import org.jspecify.annotations.Nullable;
 
@@ -53,6 +54,11 @@
         return new BudgetLender(options, RefundRule.limited());
     }
 
+    /** Returns the budget of a released team. */
+    public TeamBudget budgetOf(Team team) {
+        return options.budgetOf(team);
+    }
+
     /** Starts a period with the last checkpoints of earlier leaders; a team without one has a full budget. */
     public void start(LendingPeriod period, List<BudgetCheckpoint> checkpoints) {
         Map<String, BudgetCheckpoint> byTeam = new HashMap<>();
--- a/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
+++ b/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
@@ -22,8 +22,8 @@
     /** Time with answers after which an allowance is whole again; the tolerance counts in windows of 8 s. */
     private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /** Part of the tolerance that is used; the rest is for requests that arrive later than they were admitted. */
-    private static final double USED_SHARE = 0.8;
+    /** Part of the tolerance that is used; a half is lent as burst, the rest is for requests that arrive late. */
+    private static final double USED_SHARE = 0.4;
 
     /** A new leader knows few borrowers at first; the smaller deployments have six to eight processes. */
     private static final int MIN_BORROWERS = 8;
--- a/src/main/java/io/chivehollow/coordination/replica/ReplicaService.java
+++ b/src/main/java/io/chivehollow/coordination/replica/ReplicaService.java
@@ -277,7 +277,7 @@
     }
 
     private Optional<TeamBudget> budget(TeamId team) {
-        return configuration.team(team).map(TeamBudget::of);
+        return configuration.team(team).map(lender::budgetOf);
     }
 
     private void query(ServerCall call, Query query) {
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -117,8 +117,8 @@
         replicas = directory;
         ReplicaSettings replica = settings.replica();
         if (replica != null) {
-            ReplicaRole started =
-                    part(ReplicaRole.start(settings, replica, resources, connections, directory, registry));
+            ReplicaRole started = part(
+                    ReplicaRole.start(settings, replica, budgetOptions(), resources, connections, directory, registry));
             readiness.add(started::isReady);
             leads = started::holdsLease;
         }
@@ -194,14 +194,19 @@
         }
     }
 
+    /** Bursts of forwarded teams cover a few requests; those of the product's own interface are large. */
+    private BudgetOptions budgetOptions() {
+        return settings.forwarding() == null
+                ? BudgetOptions.defaults()
+                : BudgetOptions.forSmallBursts(settings.forwarding().toleratedTokens());
+    }
+
     private BorrowedBudget startBudget(
             ProcessResources resources, ConfigWatcher config, ControlClient control, SecureRandom random) {
-        // Bursts of forwarded teams cover a few requests; those of the product's own interface are large.
-        BudgetOptions options =
-                settings.forwarding() == null ? BudgetOptions.defaults() : BudgetOptions.forSmallBursts();
+        BudgetOptions options = budgetOptions();
         AtomicReference<BudgetReporter> reporter = new AtomicReference<>();
         Function<TeamId, Optional<TeamBudget>> budgets =
-                team -> config.current().flatMap(current -> current.team(team)).map(TeamBudget::of);
+                team -> config.current().flatMap(current -> current.team(team)).map(options::budgetOf);
         BudgetBorrower borrower = BudgetBorrower.create(
                 settings.instance(), random.nextLong(), options, budgets, resources.clock(), () -> {
                     BudgetReporter started = reporter.get();
--- a/src/main/java/io/chivehollow/runtime/ReplicaRole.java
+++ b/src/main/java/io/chivehollow/runtime/ReplicaRole.java
@@ -58,6 +58,7 @@
     static ReplicaRole start(
             Settings settings,
             ReplicaSettings replica,
+            BudgetOptions budgets,
             ProcessResources resources,
             ConnectionPool connections,
             ReplicaDirectory directory,
@@ -91,7 +92,7 @@
                 settings.instance(),
                 member,
                 state,
-                BudgetLender.create(BudgetOptions.defaults()),
+                BudgetLender.create(budgets),
                 LoadSchedule.create(replica.maxWeightLoads()),
                 consensusHandler,
                 resources.clock(),
