Meet small needs of a team's budget before large ones

Ruled out: the borrower's queue, which orders by deadline, so that calls are first there.

Change: a need of at most a 64th of the burst waits for small ones only. Large needs are delayed by little: all calls of a team cost less than a tenth of its rate.

BudgetLenderTest.smallNeedDoesNotWaitBehindALargeOne fails without the change (0 tokens instead of 9).

--- a/src/main/java/io/chivehollow/coordination/budget/Bucket.java
+++ b/src/main/java/io/chivehollow/coordination/budget/Bucket.java
@@ -28,6 +28,9 @@
     /** A checkpoint is written when it would understate what is available by more than this part of the burst. */
     private static final int DRIFT_DIVISOR = 16;
 
+    /** A need of at most this part of the burst does not wait behind larger ones, which it hardly delays. */
+    private static final int SMALL_NEED_DIVISOR = 64;
+
     /** Stands for everything that earlier leaders have lent. */
     private static final BorrowerId EARLIER_LEADERS = new BorrowerId("", 0);
 
@@ -211,7 +214,12 @@
         history.addSince(admissionNanos, credit);
     }
 
-    /** Lends to the borrower; a need is met as a whole or not at all, in the order in which needs arrived. */
+    /**
+     * Lends to the borrower; a need is met as a whole or not at all.
+     *
+     * <p>Needs are met in the order in which they arrived, small ones first: a call to an ordinary service must not be
+     * refused because the bucket is empty after prompts that cost forty times as much.
+     */
     Lent lend(BorrowerId borrower, long wantedTokens, long neededTokens) {
         long available = level - outstanding;
         // A need above the burst, which a release may have lowered, can never be met and must not hold up others.
@@ -321,11 +329,19 @@
         open = null;
     }
 
-    /** Returns the sum of the needs up to and including the borrower's, or of all needs. */
+    private boolean isSmall(Need need) {
+        return need.tokens <= budget.burstTokens() / SMALL_NEED_DIVISOR;
+    }
+
+    /** Returns the sum of the needs that are met up to and including the borrower's, or of all needs. */
     private long neededUpTo(@Nullable BorrowerId borrower) {
+        Need last = borrower == null ? null : needs.get(borrower);
+        boolean isOnlySmall = last != null && isSmall(last);
         long sum = 0;
         for (Map.Entry<BorrowerId, Need> entry : needs.entrySet()) {
-            sum += entry.getValue().tokens;
+            if (!isOnlySmall || isSmall(entry.getValue())) {
+                sum += entry.getValue().tokens;
+            }
             if (entry.getKey().equals(borrower)) {
                 break;
             }
--- a/src/test/java/io/chivehollow/coordination/budget/BudgetLenderTest.java
+++ b/src/test/java/io/chivehollow/coordination/budget/BudgetLenderTest.java
@@ -78,6 +78,15 @@
         assertEquals(lend(report(2, FIRST, 600), FIRST, 3_000), 0);
     }
 
+    /** Guards against calls to ordinary services that are refused because prompts of the same team wait for tokens. */
+    @Test
+    public void smallNeedDoesNotWaitBehindALargeOne() {
+        assertEquals(lent(FIRST, 1, 585, 0.1), 585);
+        assertEquals(lent(FIRST, 2, 400, 0.2), 0);
+        assertEquals(lent(FIRST, 3, 9, 0.3), 9);
+        assertEquals(lent(FIRST, 4, 10, 1.4), 0);
+    }
+
     /** Guards against a budget that stays low for the next leader although it has been full for long. */
     @Test
     public void refilledTeamIsFullForTheNextLeader() {
