--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
@@ -7,6 +7,7 @@
 import io.chivehollow.coordination.forwarding.reserve.MemoryDemand;
 import io.chivehollow.coordination.forwarding.reserve.MemoryReservation;
 import io.chivehollow.coordination.forwarding.reserve.MemoryTicket;
+import io.chivehollow.coordination.forwarding.reserve.OutputEstimate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,9 +24,6 @@
     /** Longest wait of a request that is late anyhow; callers give a stream up after 3.6 s without an event. */
     private static final long MAX_LATE_WAIT_MS = 1_500;
 
-    /** Margin on the caller's estimate of its output, of which half are too low and many are far off. */
-    private static final int ESTIMATE_PERCENT = 160;
-
     private static final long MS_TO_NANOS = 1_000_000;
 
     private final ForwardServices services;
@@ -80,10 +78,10 @@
 
     /** Returns the memory that the request most likely needs; a run that needs more may be preempted. */
     private long neededTokens() {
-        long limit = request.fields().maxOutputTokens();
-        long expected = request.fields().expectedOutputTokens();
-        long output = expected == 0 ? limit : Math.min(limit, expected * ESTIMATE_PERCENT / 100);
-        return request.fields().promptTokens() + output;
+        return request.fields().promptTokens()
+                + OutputEstimate.reservedTokens(
+                        request.fields().expectedOutputTokens(),
+                        request.fields().maxOutputTokens());
     }
 
     private long waitedMs() {
