Admit late requests to models only where another one has room

Cause: in bursts 96 to 99% of the decode servers' memory is reserved, and a quarter of the answers were late: callers that had been refused came back and took the room of requests that could still be on time, since a process orders only its own requests.

Change: a late request first asks for twice its memory, and reserves what it needs where so much was free. Where that is refused it waits as before.

--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -24,7 +24,9 @@
  *
  * <p>Answers the load of models whose memory is full before their processors are: a prompt that is read before there is
  * room for its output is read in vain. Requests that can still meet their target go before those that cannot, each in
- * the order of their arrival. Used on the event loop of the forwarding role only.
+ * the order of their arrival. Other processes' requests are not known here, so one that has missed its target asks for
+ * {@link #LATE_FACTOR} times its memory first and goes on only where so much is free. Used on the event loop of the
+ * forwarding role only.
  */
 public final class MemoryQueue {
 
@@ -34,6 +36,13 @@
     /** Questions that are open at the same time for one service; each takes a round trip of a few milliseconds. */
     private static final int MAX_OPEN = 4;
 
+    /**
+     * Memory that must be free, for each token that a late request needs.
+     *
+     * <p>Without it a quarter of the answers were late ones in bursts, and each took the room of one on time.
+     */
+    private static final int LATE_FACTOR = 2;
+
     /** Pause after all backend servers have refused; a request ends at one of them about each 50 ms at full load. */
     private static final int PAUSE_MS = 25;
 
@@ -115,14 +124,15 @@
                 if (next == null) {
                     return;
                 }
-                Optional<Backend> backend = choice.memory(
-                        next.demand.service(), next.demand.tokens(), next.demand.isOut(), nanoTime.getAsLong());
+                long tokens = next.demand.tokens() * (next.demand.isLate() ? LATE_FACTOR : 1);
+                Optional<Backend> backend =
+                        choice.memory(next.demand.service(), tokens, next.demand.isOut(), nanoTime.getAsLong());
                 if (backend.isEmpty()) {
                     of(next.demand).addFirst(next);
                     pause();
                     return;
                 }
-                ask(next, backend.get());
+                ask(next, backend.get(), tokens);
             }
         }
 
@@ -150,26 +160,27 @@
             }
         }
 
-        private void ask(MemoryTicket ticket, Backend backend) {
+        private void ask(MemoryTicket ticket, Backend backend, long tokens) {
             open++;
-            long tokens = ticket.demand.tokens();
             backend.onReserve(tokens);
             connections.send(
                     backend,
                     dialect.reserve(backend.id(), tokens, RESERVATION_MS),
-                    new ShortAnswer((status, body) -> onAnswer(ticket, backend, status, body)),
+                    new ShortAnswer((status, body) -> onAnswer(ticket, backend, tokens, status, body)),
                     ShortAnswer.TIMEOUT_MS);
         }
 
-        private void onAnswer(MemoryTicket ticket, Backend backend, int status, byte[] body) {
+        private void onAnswer(MemoryTicket ticket, Backend backend, long tokens, int status, byte[] body) {
             open--;
-            long tokens = ticket.demand.tokens();
             backend.onReserveEnd(tokens);
             Optional<String> id = status == OK ? dialect.readReservation(body) : Optional.empty();
             if (id.isPresent()) {
                 MemoryReservation reservation = new MemoryReservation(backend, id.get(), tokens);
                 if (ticket.isDone()) {
                     drop(reservation);
+                } else if (tokens > ticket.demand.tokens()) {
+                    drop(reservation);
+                    ask(ticket, backend, ticket.demand.tokens());
                 } else {
                     ticket.complete(reservation);
                 }
