--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -78,7 +78,7 @@
                 loop,
                 System::nanoTime,
                 context.leads(),
-                context.control(),
+                context.control()::submit,
                 adapter.dialect(),
                 table,
                 connections);
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/StageOrders.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/StageOrders.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 import io.chivehollow.base.InstanceId;
@@ -16,7 +18,6 @@
 import io.chivehollow.coordination.forwarding.backend.BackendConnections;
 import io.chivehollow.coordination.forwarding.backend.BackendTable;
 import io.chivehollow.coordination.forwarding.backend.ShortAnswer;
-import io.chivehollow.coordination.replica.ControlClient;
 import io.chivehollow.protocol.wire.Command;
 import io.chivehollow.protocol.wire.CommandResult;
 import io.chivehollow.protocol.wire.NextFencingNumber;
@@ -52,7 +53,7 @@
     private final EventLoop loop;
     private final LongSupplier nanoTime;
     private final BooleanSupplier leads;
-    private final ControlClient control;
+    private final Function<Command, CompletableFuture<CommandResult>> log;
     private final Dialect dialect;
     private final BackendTable table;
     private final BackendConnections connections;
@@ -67,7 +68,7 @@
             EventLoop loop,
             LongSupplier nanoTime,
             BooleanSupplier leads,
-            ControlClient control,
+            Function<Command, CompletableFuture<CommandResult>> log,
             Dialect dialect,
             BackendTable table,
             BackendConnections connections) {
@@ -75,24 +76,35 @@
         this.loop = loop;
         this.nanoTime = nanoTime;
         this.leads = leads;
-        this.control = control;
+        this.log = log;
         this.dialect = dialect;
         this.table = table;
         this.connections = connections;
         this.nextOrderNanos = nanoTime.getAsLong();
     }
 
-    /** Starts to look for changes that are needed. */
+    /**
+     * Starts to look for changes that are needed.
+     *
+     * @param instance holder of the orders
+     * @param loop event loop of the forwarding role
+     * @param nanoTime monotonic clock
+     * @param leads whether this instance leads the replicas
+     * @param log proposes a command to the replicated log
+     * @param dialect translation of the orders
+     * @param table the backend servers
+     * @param connections connections to them
+     */
     public static void start(
             InstanceId instance,
             EventLoop loop,
             LongSupplier nanoTime,
             BooleanSupplier leads,
-            ControlClient control,
+            Function<Command, CompletableFuture<CommandResult>> log,
             Dialect dialect,
             BackendTable table,
             BackendConnections connections) {
-        StageOrders orders = new StageOrders(instance, loop, nanoTime, leads, control, dialect, table, connections);
+        StageOrders orders = new StageOrders(instance, loop, nanoTime, leads, log, dialect, table, connections);
         loop.scheduleWithFixedDelay(orders::look, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -130,8 +142,7 @@
                         .setBackendServer(change.backendServer())
                         .setHolder(instance.value()))
                 .build();
-        control.submit(command)
-                .whenComplete((result, failure) -> loop.execute(() -> onNumber(change, result, failure)));
+        log.apply(command).whenComplete((result, failure) -> loop.execute(() -> onNumber(change, result, failure)));
     }
 
     private void onNumber(StageChange change, @Nullable CommandResult result, @Nullable Throwable failure) {
