Count the prompts of other processes at prefill servers

The choice weighed a request of another process, as the server reports it, like one token, so processes did not see each other's prompts. Change: it weighs as much as a usual prompt.

promptsOfOtherProcessesCount fails without the change.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -154,6 +154,11 @@
         return Math.max(running, reported.running() + reported.waiting());
     }
 
+    /** Returns the requests of other processes at the backend server, as it has reported lately. */
+    int otherRequests(long nowNanos) {
+        return requests(nowNanos) - running;
+    }
+
     /** Counts memory that is asked for or granted; to be balanced with {@link #onReserveEnd}. */
     public void onReserve(long tokens) {
         memoryTokens += tokens;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
@@ -91,7 +91,7 @@
         return least(
                 open,
                 backend -> backend.promptTokens()
-                        + backend.requests(nowNanos)
+                        + backend.otherRequests(nowNanos) * MEAN_REQUEST_TOKENS
                         + (backend.entry().domain().equals(target) ? 0 : TRANSFER_TOKENS));
     }
 
--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendChoiceTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendChoiceTest.java
@@ -120,11 +120,25 @@
         list("p", Stage.PREFILL, "in", false, 0);
         list("d", Stage.DECODE, "in", false, 0);
         assertEquals(server(Set.of()), "d");
-        assertEquals(
-                choice.prefill("s", Set.of(), FailureDomain.of("in"), domain -> false, nowNanos)
-                        .map(Backend::id)
-                        .orElse("none"),
-                "p");
+        assertEquals(prefill(), "p");
+    }
+
+    /** Guards against a prompt that waits behind those of other processes while another server is idle. */
+    @Test
+    public void promptsOfOtherProcessesCount() {
+        list("busy", Stage.PREFILL, "in", false, 0);
+        list("idle", Stage.PREFILL, "elsewhere", false, 0);
+        assertEquals(prefill(), "busy");
+        backend("busy").onLoad(new BackendLoad(1, 1, 8), nowNanos);
+        assertEquals(prefill(), "idle");
+        nowNanos += 1_000 * MS;
+        assertEquals(prefill(), "busy");
+    }
+
+    private String prefill() {
+        return choice.prefill("s", Set.of(), FailureDomain.of("in"), domain -> false, nowNanos)
+                .map(Backend::id)
+                .orElse("none");
     }
 
     /** A refused reservation is not asked for again at once, but a smaller one is. */
