Let refused callers come back one after the other

Callers refused for memory came back within the burst, which lasts 4 to 5 s, when they drew less than 3 s.

Change: ReturnSchedule gives each refused request of a team and service a place in a line that moves at the process's share of the rate, at most 4.5 s. Callers refused for memory come back after 3 to 4.5 s, not 2 to 4.5 s.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -63,12 +63,13 @@
     /**
      * Shortest time after which a caller comes back to models without memory.
      *
-     * <p>Bursts of the deployments last four to five seconds; callers that came back after 0.3 s were refused again.
+     * <p>Bursts of the deployments last four to five seconds; of the callers that came back within them most were
+     * refused again.
      */
-    private static final long MIN_FULL_RETRY_MS = 2_000;
+    private static final long MIN_FULL_RETRY_MS = 3_000;
 
     /** Callers wait at most a third of their 14 s. */
-    private static final long FULL_RETRY_SPREAD_MS = 2_500;
+    private static final long FULL_RETRY_SPREAD_MS = 1_500;
 
     /** Four prompts that wait, and the own, take up to 1 s at the longest; then the decode server reads it itself. */
     private static final int PREFILL_TIMEOUT_MS = 1_000;
@@ -167,7 +168,8 @@
                 taken.settle(0);
             }
         } else if (taken == null) {
-            long retryMs = services.budget().waitMs(team, cost).orElse(FULL_RETRY_MS);
+            long costMs = services.budget().waitMs(team, cost).orElse(FULL_RETRY_MS);
+            long retryMs = services.returns().retryMs(team, admitted().service(), costMs);
             trace.note("budget: " + failure);
             refuse(Refusal.later(ErrorCode.RATE_LIMITED, "The team is over its rate", retryMs));
         } else {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
@@ -24,6 +24,7 @@
  * @param connections connections to backend servers
  * @param memory queue for memory of language models
  * @param repeats budget of repetitions
+ * @param returns times at which callers over their team's rate should come back
  * @param metrics counts outcomes
  */
 public record ForwardServices(
@@ -36,6 +37,7 @@
         BackendConnections connections,
         MemoryQueue memory,
         RepeatBudget repeats,
+        ReturnSchedule returns,
         ForwardMetrics metrics) {
 
     /** Returns services with a full budget of repetitions, which so many processes share. */
@@ -59,6 +61,7 @@
                 connections,
                 MemoryQueue.create(loop, nanoTime, dialect, choice, connections),
                 new RepeatBudget(nanoTime, processes),
+                new ReturnSchedule(nanoTime, processes),
                 metrics);
     }
 }
--- /dev/null
+++ b/src/test/java/io/chivehollow/coordination/forwarding/flow/ReturnScheduleTest.java
@@ -0,0 +1,48 @@
+package io.chivehollow.coordination.forwarding.flow;
+
+import java.util.concurrent.TimeUnit;
+
+import io.chivehollow.base.TeamId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** Guards against refused callers that all come back at the same time, when there are tokens for one of them. */
+public class ReturnScheduleTest {
+
+    private static final TeamId RED = TeamId.of("red");
+    private static final int PROCESSES = 8;
+
+    /** 7,400 tokens at 47,000 tokens/s. */
+    private static final long COST_MS = 157;
+
+    private long nowNanos;
+    private ReturnSchedule schedule;
+
+    @BeforeMethod
+    public void start() {
+        nowNanos = -TimeUnit.SECONDS.toNanos(1);
+        schedule = new ReturnSchedule(() -> nowNanos, () -> PROCESSES);
+    }
+
+    @Test
+    public void refusedCallersComeBackOneAfterTheOther() {
+        assertEquals(schedule.retryMs(RED, "model", COST_MS), COST_MS * PROCESSES);
+        assertEquals(schedule.retryMs(RED, "model", COST_MS), 2 * COST_MS * PROCESSES);
+        assertEquals(schedule.retryMs(TeamId.of("blue"), "model", COST_MS), COST_MS * PROCESSES);
+        assertEquals(schedule.retryMs(RED, "plain", 5), 5 * PROCESSES);
+        nowNanos += TimeUnit.SECONDS.toNanos(60);
+        assertEquals(schedule.retryMs(RED, "model", COST_MS), COST_MS * PROCESSES);
+    }
+
+    /** A longer time would not be waited, and a shorter one than the request's own cost would not be true. */
+    @Test
+    public void timeIsBounded() {
+        for (int i = 0; i < 10; i++) {
+            schedule.retryMs(RED, "model", COST_MS);
+        }
+        assertEquals(schedule.retryMs(RED, "model", COST_MS), 4_500);
+        assertEquals(schedule.retryMs(RED, "model", 6_000), 6_000);
+    }
+}
