Hold no memory while prompts queue, and refuse long ones that were not read

Change: PromptQueue estimates the wait from how long this process's own prompts take. Prompts up to 4,000 tokens are read by the decode server while it reads no other and the wait is over 200 ms; longer ones reserve no memory while the wait is over 400 ms at all prefill servers. A failed prefill is tried at a second server within the budget of repetitions. A long prompt not read within 1 s is refused, "not run".

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -32,6 +32,7 @@
     private static final long FULL_NANOS = 50_000_000L;
 
     final Deque<IdleConnection> idle = new ArrayDeque<>();
+    private final PromptQueue prompts = new PromptQueue();
     private BackendEntry entry;
     private long coldUntilNanos = Long.MIN_VALUE / 2;
     private long suspectUntilNanos = Long.MIN_VALUE / 2;
@@ -159,6 +160,11 @@
         return requests(nowNanos) - running;
     }
 
+    /** Returns the queue of prompts of a prefill server. */
+    public PromptQueue prompts() {
+        return prompts;
+    }
+
     /** Counts memory that is asked for or granted; to be balanced with {@link #onReserveEnd}. */
     public void onReserve(long tokens) {
         memoryTokens += tokens;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendChoice.java
@@ -30,14 +30,24 @@
     private static final double MEAN_REQUEST_TOKENS = 5_000;
 
     /**
-     * Prompt tokens that may wait rather than be read in another failure domain than that of the decode server.
+     * Wait that is accepted rather than a prefill in another failure domain than that of the decode server.
      *
-     * <p>A transfer between domains takes twice as long and costs three times as much; 2,000 tokens take 36 ms.
+     * <p>A transfer between domains takes twice as long and costs three times as much.
      */
-    private static final double TRANSFER_TOKENS = 2_000;
+    private static final double TRANSFER_MS = 36;
 
-    /** Prompts at one server above which a further one waits longer than the half speed of a decode server costs. */
-    private static final int MAX_PROMPTS = 4;
+    /** Wait for a prefill server above which a decode server, at half the speed, reads a usual prompt sooner. */
+    private static final double MAX_PROMPT_WAIT_MS = 200;
+
+    /**
+     * Longest prompt that a decode server reads itself.
+     *
+     * <p>It delays the events of all runs there by 145 to 190 ms, with 50 to 65 ms between events and 300 ms allowed.
+     */
+    private static final long MAX_OWN_PROMPT_TOKENS = 4_000;
+
+    /** Wait for a prefill server with which a request still meets a target of 0.9 s after a wait for memory. */
+    private static final double BUSY_PREFILL_WAIT_MS = 400;
 
     private final BackendTable table;
     private final RandomGenerator random;
@@ -79,20 +89,46 @@
     }
 
     /**
-     * Returns the server that has the fewest prompt tokens to read, rather one in the domain of the target.
+     * Returns the server that reads the prompt first, rather one in the domain of the target.
      *
-     * <p>Returns nothing if all have so many prompts that the decode server reads this one sooner itself.
+     * <p>Returns nothing if the target, a decode server, reads it sooner itself and no other prompt of this process.
      */
     public Optional<Backend> prefill(
-            String service, Set<String> excluded, FailureDomain target, Predicate<FailureDomain> isOut, long nowNanos) {
-        List<Backend> open = filter(
+            String service,
+            long tokens,
+            Set<String> excluded,
+            Backend target,
+            Predicate<FailureDomain> isOut,
+            long nowNanos) {
+        Optional<Backend> best = least(
                 candidates(service, EnumSet.of(Stage.PREFILL), excluded, isOut, nowNanos),
-                backend -> backend.requests(nowNanos) < MAX_PROMPTS);
-        return least(
-                open,
-                backend -> backend.promptTokens()
-                        + backend.otherRequests(nowNanos) * MEAN_REQUEST_TOKENS
-                        + (backend.entry().domain().equals(target) ? 0 : TRANSFER_TOKENS));
+                backend -> promptWaitMs(backend, nowNanos)
+                        + (backend.entry().domain().equals(target.entry().domain()) ? 0 : TRANSFER_MS));
+        boolean isOwnBetter = isShort(tokens)
+                && target.promptTokens() == 0
+                && best.isPresent()
+                && promptWaitMs(best.get(), nowNanos) > MAX_PROMPT_WAIT_MS;
+        return isOwnBetter ? Optional.empty() : best;
+    }
+
+    /** Returns whether a decode server may read the prompt beside its runs. */
+    public static boolean isShort(long promptTokens) {
+        return promptTokens <= MAX_OWN_PROMPT_TOKENS;
+    }
+
+    /** Returns whether the prompt would wait long at every prefill server and is too long for a decode server. */
+    public boolean isPrefillBusy(String service, long tokens, Predicate<FailureDomain> isOut, long nowNanos) {
+        List<Backend> servers = candidates(service, EnumSet.of(Stage.PREFILL), Set.of(), isOut, nowNanos);
+        return !isShort(tokens)
+                && !servers.isEmpty()
+                && servers.stream().allMatch(server -> promptWaitMs(server, nowNanos) > BUSY_PREFILL_WAIT_MS);
+    }
+
+    /** Returns how long a further prompt waits, by what this process has sent and by what it has seen. */
+    private static double promptWaitMs(Backend backend, long nowNanos) {
+        double knownTokens = backend.promptTokens() + backend.otherRequests(nowNanos) * MEAN_REQUEST_TOKENS;
+        return Math.max(
+                knownTokens / PromptQueue.TOKENS_PER_MS, backend.prompts().waitMs(nowNanos));
     }
 
     private List<Backend> candidates(
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -15,6 +15,7 @@
 import io.chivehollow.coordination.forwarding.adapter.PrefillResult;
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendCall;
+import io.chivehollow.coordination.forwarding.backend.BackendChoice;
 import io.chivehollow.coordination.forwarding.backend.BackendListener;
 import io.chivehollow.coordination.forwarding.backend.BodyCollector;
 import io.chivehollow.coordination.forwarding.backend.ShortAnswer;
@@ -71,9 +72,12 @@
     /** Callers wait at most a third of their 14 s. */
     private static final long FULL_RETRY_SPREAD_MS = 1_500;
 
-    /** Four prompts that wait, and the own, take up to 1 s at the longest; then the decode server reads it itself. */
+    /** A prompt waits up to 0.4 s and is read in 0.2 s; a server that takes longer is stuck. */
     private static final int PREFILL_TIMEOUT_MS = 1_000;
 
+    /** Prefill servers that are asked to read one prompt; each takes a part of the time to the target. */
+    private static final int MAX_PREFILLS = 2;
+
     private static final long MS_TO_NANOS = 1_000_000;
 
     private final ForwardServices services;
@@ -94,7 +98,8 @@
     private long endNanos;
     private int sends;
     private int runs;
-    private boolean hasTriedPrefill;
+    private int prefills;
+    private boolean isPromptUnread;
     private boolean mayHaveRun;
     private boolean isOver;
 
@@ -190,20 +195,15 @@
             return;
         }
         MemoryReservation reserved = memory.reserved();
-        boolean isNew =
-                request.fields().lastEventId().isEmpty() && relay.lastEventId().isEmpty();
-        if (reserved != null && isNew && prefilled == null && !hasTriedPrefill) {
-            Optional<Backend> prefillServer = services.choice()
-                    .prefill(
-                            now.service(),
-                            tried,
-                            reserved.backend().entry().domain(),
-                            this::isOut,
-                            services.nanoTime().getAsLong());
-            if (prefillServer.isPresent()) {
-                sendPrefill(prefillServer.get());
-                return;
-            }
+        Optional<Backend> prefillServer =
+                reserved == null || !needsPrefill(now) ? Optional.empty() : prefillServer(now, reserved);
+        if (prefillServer.isPresent()) {
+            sendPrefill(prefillServer.get());
+            return;
+        }
+        if (reserved != null && isPromptUnread && prefilled == null) {
+            refuseFull("The prompt was not read in time");
+            return;
         }
         if (reserved != null) {
             sendRun(reserved.backend());
@@ -218,14 +218,53 @@
         }
     }
 
+    /** Returns whether the prompt is to be read apart; a further try counts as a repetition. */
+    private boolean needsPrefill(Admission.Admitted now) {
+        boolean isNew =
+                request.fields().lastEventId().isEmpty() && relay.lastEventId().isEmpty();
+        return isNew
+                && !isPromptUnread
+                && prefilled == null
+                && prefills < MAX_PREFILLS
+                && (prefills == 0 || services.repeats().take(now.service()));
+    }
+
+    private Optional<Backend> prefillServer(Admission.Admitted now, MemoryReservation reserved) {
+        return services.choice()
+                .prefill(
+                        now.service(),
+                        request.fields().promptTokens(),
+                        tried,
+                        reserved.backend(),
+                        this::isOut,
+                        services.nanoTime().getAsLong());
+    }
+
     private void reserveMemory(Admission.Admitted now) {
         if (sends >= MAX_SENDS) {
             fail(ErrorCode.OVERLOADED, "Backend servers are full");
+        } else if (sends == 0
+                && services.choice()
+                        .isPrefillBusy(
+                                now.service(),
+                                request.fields().promptTokens(),
+                                this::isOut,
+                                services.nanoTime().getAsLong())) {
+            waitForPrefill(now);
         } else {
             memory.request(now, sends > 0, this::isOut, this::next, this::refuseFull);
         }
     }
 
+    /** Holds no memory while the prompt would wait so long that its first output is late. */
+    private void waitForPrefill(Admission.Admitted now) {
+        if (memory.mayWait(now)) {
+            services.loop().schedule(this::next, PAUSE_MS, TimeUnit.MILLISECONDS);
+        } else {
+            refuseFull("All prefill servers are busy");
+        }
+    }
+
     /** Spreads the returns of refused callers over the time after which a burst is over. */
     private void refuseFull(String message) {
         if (mayHaveRun || relay.hasStarted()) {
@@ -237,8 +276,7 @@
     }
 
     private void waitOrRefuse(String reason) {
-        long waitedNanos = services.nanoTime().getAsLong() - request.arrivalNanos();
-        boolean mayWait = waitedNanos < admitted().route().getTargetMs() * MS_TO_NANOS / WAIT_SHARE;
+        boolean mayWait = waitedNanos() < admitted().route().getTargetMs() * MS_TO_NANOS / WAIT_SHARE;
         if (mayWait && sends < MAX_SENDS) {
             tried.clear();
             services.loop().schedule(this::next, PAUSE_MS, TimeUnit.MILLISECONDS);
@@ -252,10 +290,11 @@
     }
 
     private void sendPrefill(Backend backend) {
-        hasTriedPrefill = true;
+        prefills++;
         long prompt = request.fields().promptTokens();
         Attempt started = new Attempt(backend, prompt, 0, true);
         begin(started);
+        backend.prompts().onStart(started, prompt, services.nanoTime().getAsLong());
         call = services.connections()
                 .send(backend, backendRequest(backend, true), new PrefillListener(started), PREFILL_TIMEOUT_MS);
     }
@@ -294,6 +333,9 @@
             call = null;
         }
         ended.backend.onEnd(ended.isPromptRead ? 0 : ended.promptTokens, ended.memoryTokens);
+        if (ended.isPrefill) {
+            ended.backend.prompts().onEnd(ended, false, services.nanoTime().getAsLong());
+        }
         if (ended.memoryTokens > 0) {
             ended.backend.onMemoryFreed();
         }
@@ -468,6 +510,10 @@
                 : admitted.access().getTeam();
     }
 
+    private long waitedNanos() {
+        return services.nanoTime().getAsLong() - request.arrivalNanos();
+    }
+
     private long leftMs() {
         return (endNanos - services.nanoTime().getAsLong()) / MS_TO_NANOS;
     }
@@ -507,6 +553,9 @@
 
         @Override
         public void onEnd() {
+            mine.backend
+                    .prompts()
+                    .onEnd(mine, status == AnswerChecks.OK, services.nanoTime().getAsLong());
             endAttempt(mine);
             if (status == AnswerChecks.OK) {
                 mine.backend.onSuccess();
@@ -537,6 +586,12 @@
         @Override
         public void onFailure(Failure failure, String reason) {
             endAttempt(mine);
+            if (failure == Failure.NOT_SENT) {
+                prefills--;
+            }
+            // A decode server that read a long prompt now would delay all its runs for an answer that is late.
+            isPromptUnread = !BackendChoice.isShort(mine.promptTokens)
+                    && waitedNanos() > admitted().route().getTargetMs() * MS_TO_NANOS;
             trace.onOutcome("prefill " + failure + ": " + reason);
             mine.backend.onFailure(services.nanoTime().getAsLong());
             next();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
@@ -58,9 +58,10 @@
             Predicate<FailureDomain> isOut,
             Runnable onGranted,
             Consumer<String> onRefused) {
-        long targetMs = admitted.route().getTargetMs();
-        boolean isLate = isReturn(admitted) || hasFailed && waitedMs() > targetMs;
-        long maxWaitMs = isLate ? MAX_LATE_WAIT_MS : targetMs * WAIT_PERCENT / 100;
+        boolean isLate =
+                isReturn(admitted) || hasFailed && waitedMs() > admitted.route().getTargetMs();
+        long waitedMs = hasFailed ? 0 : waitedMs();
+        long maxWaitMs = maxWaitMs(admitted, isLate) - waitedMs;
         long tokens = neededTokens();
         MemoryDemand demand = new MemoryDemand(admitted.service(), tokens, isLate, Math.max(1, maxWaitMs), isOut);
         ticket = services.memory().add(demand, granted -> {
@@ -76,6 +77,15 @@
         });
     }
 
+    /** Returns whether a request that has not been sent may go on to wait. */
+    boolean mayWait(Admission.Admitted admitted) {
+        return waitedMs() < maxWaitMs(admitted, isReturn(admitted));
+    }
+
+    private static long maxWaitMs(Admission.Admitted admitted, boolean isLate) {
+        return isLate ? MAX_LATE_WAIT_MS : admitted.route().getTargetMs() * WAIT_PERCENT / 100;
+    }
+
     /** Returns the memory that the request most likely needs; a run that needs more may be preempted. */
     private long neededTokens() {
         return request.fields().promptTokens()
--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendChoiceTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendChoiceTest.java
@@ -14,6 +14,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** Guards against requests to backend servers that leave, are out of service, cold, failing or full. */
@@ -126,6 +127,7 @@
     /** Guards against a prompt that waits behind those of other processes while another server is idle. */
     @Test
     public void promptsOfOtherProcessesCount() {
+        list("d", Stage.DECODE, "in", false, 0);
         list("busy", Stage.PREFILL, "in", false, 0);
         list("idle", Stage.PREFILL, "elsewhere", false, 0);
         assertEquals(prefill(), "busy");
@@ -135,8 +137,55 @@
         assertEquals(prefill(), "busy");
     }
 
+    /** Guards against prompts that queue up at one server for a second while its burst goes on. */
+    @Test
+    public void promptIsReadByTheDecodeServerWhileTheQueueIsLong() {
+        list("d", Stage.DECODE, "in", false, 0);
+        list("p", Stage.PREFILL, "in", false, 0);
+        backend("p").prompts().onStart("a", 5_000, nowNanos);
+        nowNanos += 250 * MS;
+        assertEquals(prefill(), "p");
+        nowNanos += 60 * MS;
+        assertEquals(prefill(), "none");
+        backend("p").prompts().onEnd("a", true, nowNanos);
+        assertEquals(prefill(), "none");
+        nowNanos += 100 * MS;
+        assertEquals(prefill(), "p");
+    }
+
+    /** A second prompt, or a long one, would delay the events of all runs at the decode server for too long. */
+    @Test
+    public void decodeServerReadsOneShortPromptAtATime() {
+        list("d", Stage.DECODE, "in", false, 0);
+        list("p", Stage.PREFILL, "in", false, 0);
+        backend("p").prompts().onStart("a", 5_000, nowNanos);
+        nowNanos += 400 * MS;
+        assertEquals(prefill(), "none");
+        assertEquals(
+                choice.prefill("s", 8_000, Set.of(), backend("d"), domain -> false, nowNanos)
+                        .map(Backend::id)
+                        .orElse("none"),
+                "p");
+        backend("d").onStart(5_000, 6_000, nowNanos);
+        assertEquals(prefill(), "p");
+    }
+
+    /** Guards against memory that is held for a second while a prompt waits to be read. */
+    @Test
+    public void longPromptsWaitWhileAllPrefillServersAreBusy() {
+        list("p", Stage.PREFILL, "in", false, 0);
+        backend("p").prompts().onStart("a", 5_000, nowNanos);
+        nowNanos += 450 * MS;
+        assertFalse(choice.isPrefillBusy("s", 6_000, domain -> false, nowNanos));
+        nowNanos += 50 * MS;
+        assertTrue(choice.isPrefillBusy("s", 6_000, domain -> false, nowNanos));
+        assertFalse(choice.isPrefillBusy("s", 2_000, domain -> false, nowNanos));
+        list("q", Stage.PREFILL, "in", false, 0);
+        assertFalse(choice.isPrefillBusy("s", 6_000, domain -> false, nowNanos));
+    }
+
     private String prefill() {
-        return choice.prefill("s", Set.of(), FailureDomain.of("in"), domain -> false, nowNanos)
+        return choice.prefill("s", 3_000, Set.of(), backend("d"), domain -> false, nowNanos)
                 .map(Backend::id)
                 .orElse("none");
     }
