--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -75,7 +75,7 @@
     /** Shorter than a reservation, which lasts 2 s; a prompt that is given up sooner has mostly been read in vain. */
     private static final int PREFILL_TIMEOUT_MS = 1_800;
 
-    /** Prefill servers that are asked to read one prompt; each takes a part of the time to the target. */
+    /** Prefill servers that are asked to read one prompt; the second one counts as a repetition. */
     private static final int MAX_PREFILLS = 2;
 
     private static final long MS_TO_NANOS = 1_000_000;
@@ -196,8 +196,9 @@
         }
         MemoryReservation reserved = memory.reserved();
         Optional<Backend> prefillServer =
-                reserved == null || !needsPrefill(now) ? Optional.empty() : prefillServer(now, reserved);
-        if (prefillServer.isPresent()) {
+                reserved == null || !needsPrefill() ? Optional.empty() : prefillServer(now, reserved);
+        boolean isFirst = prefills == 0;
+        if (prefillServer.isPresent() && (isFirst || services.repeats().take(now.service()))) {
             sendPrefill(prefillServer.get());
             return;
         }
@@ -218,15 +219,11 @@
         }
     }
 
-    /** Returns whether the prompt is to be read apart; a further try counts as a repetition. */
-    private boolean needsPrefill(Admission.Admitted now) {
+    /** Returns whether the prompt is to be read by a prefill server. */
+    private boolean needsPrefill() {
         boolean isNew =
                 request.fields().lastEventId().isEmpty() && relay.lastEventId().isEmpty();
-        return isNew
-                && !isPromptUnread
-                && prefilled == null
-                && prefills < MAX_PREFILLS
-                && (prefills == 0 || services.repeats().take(now.service()));
+        return isNew && !isPromptUnread && prefilled == null && prefills < MAX_PREFILLS;
     }
 
     private Optional<Backend> prefillServer(Admission.Admitted now, MemoryReservation reserved) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
@@ -60,8 +60,8 @@
             Consumer<String> onRefused) {
         boolean isLate =
                 isReturn(admitted) || hasFailed && waitedMs() > admitted.route().getTargetMs();
-        long waitedMs = hasFailed ? 0 : waitedMs();
-        long maxWaitMs = maxWaitMs(admitted, isLate) - waitedMs;
+        // The time of an attempt that failed was not spent on waiting.
+        long maxWaitMs = maxWaitMs(admitted, isLate) - (hasFailed ? 0 : waitedMs());
         long tokens = neededTokens();
         MemoryDemand demand = new MemoryDemand(admitted.service(), tokens, isLate, Math.max(1, maxWaitMs), isOut);
         ticket = services.memory().add(demand, granted -> {
