Split the processing of a forwarded request by stage

The budget, the prefill and the runs of a request are stages of their own now, beside the memory stage; OpenAttempt holds the attempt in progress, RunHistory decides whether a request may be sent again, BackendRequests creates the requests to backend servers. ForwardFlow connects the stages.

Decisions are unchanged, with one correction: the call of an attempt that failed while it was being sent no longer replaces the call of the attempt that followed, which could then not be cancelled.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -35,6 +35,9 @@
 
     private static final double MS_PER_S = 1_000;
 
+    /** Name of the team in logs and metrics for requests without one. */
+    static final String NO_TEAM = "none";
+
     private final ConfigView config;
     private final RandomGenerator random;
     private long tableVersion = -1;
@@ -141,6 +144,10 @@
                     : Optional.of(TeamId.of(access.getTeam()));
         }
 
+        String teamName() {
+            return access == null ? NO_TEAM : access.getTeam();
+        }
+
         long cost(ForwardRequest request) {
             if (access == null || !access.getCountsTokens()) {
                 return 1;
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Refusal.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Refusal.java
@@ -17,6 +17,9 @@
     /** Retry time of a refusal that does not depend on time. */
     public static final long NO_RETRY_TIME = -1;
 
+    /** Retry time in milliseconds at full servers, which have capacity again after about the time of one request. */
+    static final long OVERLOAD_RETRY_MS = 300;
+
     /** Returns the refusal of a request that has not been run; it has no retry time. */
     public static Refusal of(ErrorCode code, String message) {
         return new Refusal(code, message, true, NO_RETRY_TIME);
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
@@ -33,8 +33,7 @@
 
     void onAdmitted(Admission.AdmittedRequest admitted) {
         addStep("route " + admitted.route().getId() + " revision " + admitted.revision() + " service "
-                + admitted.service() + " team "
-                + (admitted.access() == null ? "none" : admitted.access().getTeam()) + " tokens "
+                + admitted.service() + " team " + admitted.teamName() + " tokens "
                 + request.fields().promptTokens() + "+" + request.fields().maxOutputTokens() + " expected "
                 + request.fields().expectedOutputTokens());
     }
--- /dev/null
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -0,0 +1,195 @@
+package io.chivehollow.coordination.forwarding.flow;
+
+import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
+import io.chivehollow.coordination.forwarding.backend.Backend;
+import io.chivehollow.coordination.forwarding.backend.BackendListener;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The stage in which backend servers run one request and their responses are passed on to the caller.
+ *
+ * <p>Invariant: the caller receives the response of one run, or of several runs of which each resumes after the last
+ * event of the previous one. Used on the event loop of the forwarding role only.
+ */
+final class RunStage {
+
+    private final ForwardServices services;
+    private final ForwardRequest request;
+    private final RequestTrace trace;
+    private final OpenAttempt openAttempt;
+    private final CallerSink sink;
+    private final Listener listener;
+    private final RunHistory history = new RunHistory();
+    private ResponseRelay relay = ResponseRelay.none();
+
+    RunStage(
+            ForwardServices services,
+            ForwardRequest request,
+            RequestTrace trace,
+            OpenAttempt openAttempt,
+            CallerSink sink,
+            Listener listener) {
+        this.services = services;
+        this.request = request;
+        this.trace = trace;
+        this.openAttempt = openAttempt;
+        this.sink = sink;
+        this.listener = listener;
+    }
+
+    RunHistory history() {
+        return history;
+    }
+
+    ResponseRelay relay() {
+        return relay;
+    }
+
+    /** Returns whether a backend server may have run the request or may be running it. */
+    boolean isRunPossible() {
+        return history.mayHaveRun() || openAttempt.isRun();
+    }
+
+    void send(
+            Admission.AdmittedRequest admitted,
+            Backend backend,
+            long promptTokens,
+            long memoryTokens,
+            FullHttpRequest httpRequest) {
+        history.onSent();
+        Attempt started = new Attempt(backend, promptTokens, memoryTokens, false);
+        openAttempt.start(started);
+        openAttempt.onSent(
+                started, services.connections().send(backend, httpRequest, new ResponseListener(started, admitted)));
+    }
+
+    void release() {
+        relay.release();
+    }
+
+    /** Receives the end of each run. */
+    interface Listener {
+
+        /** Called if the backend server has stated that it did not run the request. */
+        void onNotRun(int status);
+
+        /** Called if the request may be sent again: no byte of it was sent, or its failed response was discarded. */
+        void onRetry();
+
+        /** Called if the request may have run and its response cannot be used or is incomplete. */
+        void onInterrupted();
+
+        /** Called if the response is complete and was passed on. */
+        void onComplete(int status);
+
+        /** Returns whether time is left for a further run. */
+        boolean hasTimeLeft();
+    }
+
+    private final class ResponseListener implements BackendListener {
+
+        private final Attempt started;
+        private final Admission.AdmittedRequest admitted;
+        private boolean isDiscarded;
+        private boolean isNotRun;
+        private @Nullable ResponseFields fields;
+        private int status;
+
+        ResponseListener(Attempt started, Admission.AdmittedRequest admitted) {
+            this.started = started;
+            this.admitted = admitted;
+        }
+
+        @Override
+        public void onHead(HttpResponse head) {
+            status = head.status().code();
+            fields = openAttempt.readHead(started, head);
+            isNotRun = fields.isNotRun();
+            if (isNotRun) {
+                isDiscarded = true;
+                return;
+            }
+            String rejectionReason = ResponseChecks.rejectionReason(request, status, fields);
+            if (rejectionReason != null) {
+                openAttempt.cancel();
+                interrupted(Failure.BROKEN_ANSWER, rejectionReason);
+                return;
+            }
+            if (status >= ResponseChecks.SERVER_ERROR) {
+                if (listener.hasTimeLeft() && history.mayRepeatAfterThisRun(admitted.route(), relay)) {
+                    history.onPossibleRun();
+                    isDiscarded = true;
+                    return;
+                }
+                history.onComplete();
+            }
+            if (!relay.hasStarted()) {
+                HttpHeaders headers = head.headers().copy();
+                services.dialect().removeInternalHeaders(headers);
+                relay = ResponseRelay.of(admitted.route(), status, headers, sink, this::onFirstByte);
+            }
+        }
+
+        private void onFirstByte() {
+            started.isPrefillDone = true;
+            started.backend.onPrefillDone(started.promptTokens);
+            services.metrics()
+                    .onFirstByte(admitted.teamName(), services.nanoTime().getAsLong() - request.arrivalNanos());
+        }
+
+        @Override
+        public void onData(ByteBuf data) {
+            if (isDiscarded) {
+                data.release();
+                return;
+            }
+            relay.data(data);
+            if (relay.hasStarted()) {
+                trace.onOutput();
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            openAttempt.end(started);
+            if (isNotRun && fields != null) {
+                ResponseChecks.onRefused(services, started.backend, fields);
+                trace.addTimedStep("not run, status " + status);
+                listener.onNotRun(status);
+            } else if (isDiscarded) {
+                trace.addTimedStep("status " + status + ", repeated");
+                services.metrics().onRetry("status");
+                listener.onRetry();
+            } else if (!relay.isComplete()) {
+                interrupted(Failure.BROKEN_ANSWER, "the stream ended within an event");
+            } else {
+                started.backend.onSuccess();
+                history.onComplete();
+                trace.addTimedStep("status " + status);
+                relay.end();
+                listener.onComplete(status);
+            }
+        }
+
+        @Override
+        public void onFailure(Failure failure, String reason) {
+            openAttempt.end(started);
+            interrupted(failure, reason);
+        }
+
+        private void interrupted(Failure failure, String reason) {
+            trace.addTimedStep(failure + ": " + reason);
+            started.backend.onFailure(services.nanoTime().getAsLong());
+            if (failure == Failure.NOT_SENT) {
+                listener.onRetry();
+                return;
+            }
+            history.onPossibleRun();
+            listener.onInterrupted();
+        }
+    }
+}
