Bound what a backend server may send that is no response

Bytes that are no answer may come without end until the caller closes. Cause: a head was bounded only field by field, so that interim responses, empty lines and chunk extensions passed without a limit until the request's deadline; an event without an end was kept whole and scanned from its start at each read (16 MB: 4.2 s of the event loop); the body of a response that is not passed on was read to its end before the retry; what a slow caller did not take was kept in memory; the responses to the router's own calls were read on after their limit.

Change: ReceivedBytes counts what arrives before it is decoded, and a call fails with 64 KB before its head or too much framing; one event is limited to 64 KB and each byte is scanned once; a listener can end a response; a discarded body has 64 KB and 250 ms, a repeatable response the target time after its head; the router stops reading while its caller does not take the response; a server counts as failing if a request ran out of time there. A response ends only after everything read with it is decoded, so that bytes after it are never taken for the next response. A refusal counts only if it carries the id of the request: a late one of an earlier request made a non-idempotent call run twice.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -39,7 +39,7 @@
     void failAfter(EventLoop loop, int timeoutMs) {
         if (!isEnded) {
             timer = loop.schedule(
-                    () -> fail(Failure.NO_ANSWER, "no response within " + timeoutMs + " ms"),
+                    () -> fail(Failure.NO_ANSWER, "no complete response within " + timeoutMs + " ms"),
                     timeoutMs,
                     TimeUnit.MILLISECONDS);
         }
@@ -63,6 +63,16 @@
         idleTimeoutMs = timeoutMs;
     }
 
+    /**
+     * Starts or stops to read the response. While it is not read, the server can send no more than fits into the
+     * buffers of the connection.
+     */
+    public void setReading(boolean isReading) {
+        if (!isEnded && channel != null) {
+            channel.config().setAutoRead(isReading);
+        }
+    }
+
     /** Cancels the request; closing the connection makes the backend server stop its work. */
     public void cancel() {
         if (!isEnded) {
@@ -86,7 +96,8 @@
         listener.onEnd();
     }
 
-    void fail(Failure failure, String reason) {
+    /** Fails the call and closes its connection, unless it has ended. */
+    public void fail(Failure failure, String reason) {
         if (isEnded) {
             return;
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -62,9 +62,11 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        BackendHandler handler = new BackendHandler();
                         channel.pipeline()
+                                .addLast(new ReceivedBytes(handler))
                                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                .addLast(new BackendHandler());
+                                .addLast(handler);
                     }
                 });
     }
@@ -124,6 +126,7 @@
     }
 
     void returnIdle(Backend backend, Channel channel, long idleTimeoutMs) {
+        channel.config().setAutoRead(true);
         if (!backend.isUsable() || backend.idleConnections.size() >= MAX_IDLE) {
             channel.close();
             return;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -14,15 +14,28 @@
 /**
  * Passes the responses on one connection to the call that waits for them.
  *
- * <p>Data that no call waits for closes the connection, so that it is never taken for a later response. Used on the
- * event loop of the connection.
+ * <p>Invariants: data that no call waits for closes the connection, so that it is never taken for a later response. A
+ * response whose head or framing exceeds its limit fails its call, also if the codec never completes a message. Used on
+ * the event loop of the connection.
  */
 final class BackendHandler extends ChannelInboundHandlerAdapter {
 
     private static final int CONTINUE = 100;
     private static final int FIRST_FINAL = 200;
 
+    /** Limits the head of a response, with the interim responses and empty lines before it, in bytes. */
+    private static final int MAX_HEAD_BYTES = 65_536;
+
+    /** Limits what a response has beside its body in bytes: head, chunk sizes and extensions, trailer fields. */
+    private static final int MAX_FRAMING_BYTES = 262_144;
+
+    /** Framing bytes that are allowed for each byte of the body; a chunk of one byte has six. */
+    private static final int FRAMING_PER_BODY_BYTE = 6;
+
     private @Nullable BackendCall call;
+    private @Nullable BackendCall completed;
+    private long receivedBytes;
+    private long bodyBytes;
     private boolean hasHead;
     private boolean isInterim;
     private boolean isKeepAlive;
@@ -32,6 +45,34 @@
         call = started;
         hasHead = false;
         isInterim = false;
+        receivedBytes = 0;
+        bodyBytes = 0;
+    }
+
+    /** Returns whether a call waits for data. */
+    boolean isWaiting() {
+        return call != null;
+    }
+
+    /** Counts bytes that are decoded next. */
+    void count(int newBytes) {
+        receivedBytes += newBytes;
+    }
+
+    /** Fails the call if the bytes received for it exceed the limits of head and framing. */
+    void checkLimits() {
+        BackendCall current = call;
+        if (current == null) {
+            return;
+        }
+        long framingBytes = receivedBytes - bodyBytes;
+        if (!hasHead && framingBytes > MAX_HEAD_BYTES) {
+            call = null;
+            current.fail(Failure.BROKEN_ANSWER, "no response head within " + MAX_HEAD_BYTES + " bytes");
+        } else if (framingBytes > MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * bodyBytes) {
+            call = null;
+            current.fail(Failure.BROKEN_ANSWER, "the framing of the response has " + framingBytes + " bytes");
+        }
     }
 
     @Override
@@ -39,6 +80,7 @@
         BackendCall current = call;
         if (current == null || current.isEnded()) {
             ReferenceCountUtil.release(message);
+            isKeepAlive = false;
             context.close();
             return;
         }
@@ -69,18 +111,38 @@
         if (isInterim || current.isEnded() || !content.content().isReadable()) {
             content.release();
         } else {
-            current.listener.onData(content.content());
+            bodyBytes += content.content().readableBytes();
+            if (!current.listener.onData(content.content())) {
+                call = null;
+                current.fail(Failure.BROKEN_ANSWER, "the body exceeds the limit of its receiver");
+                return;
+            }
         }
         if (isLast && !isInterim) {
             call = null;
             if (error != null) {
                 current.fail(Failure.BROKEN_ANSWER, "connection failed: " + error);
             } else {
-                current.complete(isKeepAlive);
+                completed = current;
             }
         }
     }
 
+    /** Ends a call once all that was read with its response is decoded, so that bytes after it close the connection. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        complete();
+        context.fireChannelReadComplete();
+    }
+
+    private void complete() {
+        BackendCall ended = completed;
+        completed = null;
+        if (ended != null) {
+            ended.complete(isKeepAlive);
+        }
+    }
+
     /** Returns whether the end of the response is marked by its framing and not by the end of the connection. */
     private static boolean isFramed(HttpResponse head) {
         return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
@@ -88,6 +150,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        complete();
         BackendCall current = call;
         call = null;
         if (current != null) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
@@ -14,8 +14,13 @@
     /** Called with the head of the response. */
     void onHead(HttpResponse head);
 
-    /** Called with a part of the body, which the listener must release. */
-    void onData(ByteBuf data);
+    /**
+     * Called with a part of the body, which the listener must release.
+     *
+     * @return whether the response may go on; if not, the call fails as {@link Failure#BROKEN_ANSWER} and its
+     *     connection is closed
+     */
+    boolean onData(ByteBuf data);
 
     /** Called at the end of a complete response. */
     void onEnd();
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BodyCollector.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BodyCollector.java
@@ -8,7 +8,7 @@
 /**
  * Collects the body of a small response.
  *
- * <p>Not thread-safe. Data beyond the size limit is discarded, which makes the body unreadable.
+ * <p>Invariant: at most the size limit is kept in memory. Not thread-safe.
  */
 public final class BodyCollector {
 
@@ -17,12 +17,18 @@
 
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
 
-    /** Adds a part of the body; the buffer is released. */
-    public void add(ByteBuf data) {
-        if (collected.size() + data.readableBytes() <= MAX_BYTES) {
+    /**
+     * Adds a part of the body; the buffer is released.
+     *
+     * @return false if the body exceeds the size limit, so that it cannot be read
+     */
+    public boolean add(ByteBuf data) {
+        boolean isWithinLimit = collected.size() + data.readableBytes() <= MAX_BYTES;
+        if (isWithinLimit) {
             collected.writeBytes(ByteBufUtil.getBytes(data));
         }
         data.release();
+        return isWithinLimit;
     }
 
     /** Returns the collected bytes. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortResponse.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortResponse.java
@@ -38,8 +38,8 @@
     }
 
     @Override
-    public void onData(ByteBuf data) {
-        body.add(data);
+    public boolean onData(ByteBuf data) {
+        return body.add(data);
     }
 
     @Override
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/BufferedRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/BufferedRelay.java
@@ -11,19 +11,24 @@
  * Passes a response on when it is complete, so that an interrupted response can be replaced or reported with an error
  * status.
  *
- * <p>Invariant: nothing is sent before the end of the response unless the body exceeds the limit; from then on it is
- * passed on as it arrives. Not thread-safe.
+ * <p>Invariant: nothing is sent before the end of the response unless the body exceeds the limit of the buffer; from
+ * then on it is passed on as it arrives. A body of no stated length is limited, because it may have no end. Not
+ * thread-safe.
  */
 final class BufferedRelay implements ResponseRelay {
 
     /** Limits the buffer of one response in bytes; most responses have less than a kilobyte. */
     private static final int MAX_BUFFERED_BYTES = 65_536;
 
+    /** Limits a body of which the backend server does not state the length, in bytes. */
+    private static final int MAX_UNSTATED_BYTES = 16 << 20;
+
     private final int status;
     private final HttpHeaders headers;
     private final CallerSink sink;
     private final Runnable onFirstByte;
     private ByteBuf buffered = Unpooled.buffer();
+    private long receivedBytes;
     private boolean hasStarted;
 
     BufferedRelay(int status, HttpHeaders headers, CallerSink sink, Runnable onFirstByte) {
@@ -34,14 +39,16 @@
     }
 
     @Override
-    public void data(ByteBuf data) {
-        if (!hasStarted && buffered.readableBytes() + data.readableBytes() <= MAX_BUFFERED_BYTES) {
+    public boolean data(ByteBuf data) {
+        receivedBytes += data.readableBytes();
+        if (!hasStarted && receivedBytes <= MAX_BUFFERED_BYTES) {
             buffered.writeBytes(data);
             data.release();
-            return;
+            return true;
         }
         start();
         sink.data(data);
+        return receivedBytes <= MAX_UNSTATED_BYTES || headers.contains(HttpHeaderNames.CONTENT_LENGTH);
     }
 
     private void start() {
@@ -74,6 +81,7 @@
     @Override
     public void onInterrupted() {
         buffered.clear();
+        receivedBytes = 0;
     }
 
     @Override
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/CallerSink.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/CallerSink.java
@@ -17,6 +17,9 @@
     /** Sends a part of the body; the buffer is released. */
     void data(ByteBuf data);
 
+    /** Returns whether the caller takes what it is sent; if not, what follows is buffered. */
+    boolean isWritable();
+
     /** Ends a complete response. */
     void end();
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
@@ -9,29 +9,35 @@
 /**
  * Splits a stream of server-sent events at event boundaries.
  *
- * <p>Invariant: returned data ends with an empty line, so that an interrupted stream can be resumed at another backend
- * server without a partial event. Not thread-safe.
+ * <p>Invariants: returned data ends with an empty line, so that an interrupted stream can be resumed at another backend
+ * server without a partial event. Each byte is examined once, however many parts an event arrives in. Not thread-safe.
  */
 final class EventSplitter {
 
+    /** Limits one event in bytes; an event has a few tokens of output. */
+    static final int MAX_EVENT_BYTES = 65_536;
+
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
 
     private final ByteBuf pending = Unpooled.buffer();
+
+    /** Start of the last line, which is incomplete, in bytes from the start of the pending data. */
+    private int lineOffset;
+
     private long lastSeenId = -1;
     private long lastCompleteId = -1;
 
     /** Adds data, which is released, and returns all complete events that have not been returned yet. */
     ByteBuf add(ByteBuf data) {
+        int start = pending.readerIndex();
+        int scanStart = pending.writerIndex();
         pending.writeBytes(data);
         data.release();
-        int end = pending.readerIndex();
-        int lineStart = end;
-        for (int i = lineStart; i < pending.writerIndex(); i++) {
-            if (pending.getByte(i) != LINE_FEED) {
-                continue;
-            }
+        int end = start;
+        int lineStart = start + lineOffset;
+        for (int i = indexOfLineFeed(scanStart); i >= 0; i = indexOfLineFeed(i + 1)) {
             int lineEnd = i > lineStart && pending.getByte(i - 1) == CARRIAGE_RETURN ? i - 1 : i;
             if (lineEnd == lineStart) {
                 end = i + 1;
@@ -41,14 +47,19 @@
             }
             lineStart = i + 1;
         }
-        if (end == pending.readerIndex()) {
+        lineOffset = lineStart - end;
+        if (end == start) {
             return Unpooled.EMPTY_BUFFER;
         }
-        ByteBuf completeEvents = Unpooled.copiedBuffer(pending.readSlice(end - pending.readerIndex()));
+        ByteBuf completeEvents = Unpooled.copiedBuffer(pending.readSlice(end - start));
         pending.discardReadBytes();
         return completeEvents;
     }
 
+    private int indexOfLineFeed(int from) {
+        return pending.indexOf(from, pending.writerIndex(), LINE_FEED);
+    }
+
     private void readLine(int start, int end) {
         if (end - start <= ID_FIELD.length() || pending.getByte(start) != ID_FIELD.charAt(0)) {
             return;
@@ -66,6 +77,7 @@
     /** Discards the received part of an interrupted event. */
     void discardPartial() {
         pending.clear();
+        lineOffset = 0;
         lastSeenId = lastCompleteId;
     }
 
@@ -74,8 +86,18 @@
         return pending.isReadable();
     }
 
+    /** Returns whether the incomplete event exceeds the limit; what follows may have no end. */
+    boolean isPartialTooLong() {
+        return pending.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Returns the id of the last complete event, or an empty value if no event had a numeric id. */
     OptionalLong lastId() {
         return lastCompleteId < 0 ? OptionalLong.empty() : OptionalLong.of(lastCompleteId);
     }
+
+    /** Releases the buffer; nothing may be added after that. */
+    void release() {
+        pending.release();
+    }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -240,7 +240,13 @@
         memory.endReservation(true);
     }
 
+    /** Reads the response of the backend server on, after the caller has taken what was sent to it. */
+    public void onCallerWritable() {
+        openAttempt.setReading(true);
+    }
+
     private void onTimeout() {
+        openAttempt.reportSlow(admitted().route().getTargetMs() * MS_TO_NANOS);
         fail(ErrorCode.DEADLINE_EXCEEDED, "The request was not completed before its deadline");
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/NoResponse.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/NoResponse.java
@@ -13,8 +13,9 @@
     INSTANCE;
 
     @Override
-    public void data(ByteBuf data) {
+    public boolean data(ByteBuf data) {
         data.release();
+        return true;
     }
 
     @Override
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/OpenAttempt.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/OpenAttempt.java
@@ -5,6 +5,7 @@
 
 import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.backend.BackendCall;
+import io.chivehollow.coordination.forwarding.backend.BackendListener;
 import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
@@ -21,6 +22,7 @@
     private final Set<String> triedServers = new HashSet<>();
     private @Nullable Attempt attempt;
     private @Nullable BackendCall call;
+    private long startNanos;
 
     OpenAttempt(ForwardServices services, RequestTrace trace) {
         this.services = services;
@@ -31,9 +33,9 @@
     void start(Attempt started) {
         attempt = started;
         call = null;
+        startNanos = services.nanoTime().getAsLong();
         triedServers.add(started.backend.id());
-        started.backend.onStart(
-                started.promptTokens, started.memoryTokens, services.nanoTime().getAsLong());
+        started.backend.onStart(started.promptTokens, started.memoryTokens, startNanos);
         trace.onSend(started.backend.id(), started.isPrefill);
     }
 
@@ -64,6 +66,28 @@
         }
     }
 
+    /** Fails the call of the attempt if it is still in progress. */
+    void fail(Attempt failed, BackendListener.Failure failure, String reason) {
+        if (attempt == failed && call != null) {
+            call.fail(failure, reason);
+        }
+    }
+
+    /** Starts or stops to read the response of the attempt in progress. */
+    void setReading(boolean isReading) {
+        if (call != null) {
+            call.setReading(isReading);
+        }
+    }
+
+    /** Counts the backend server as failing if the attempt in progress has lasted for longer than the given time. */
+    void reportSlow(long maxNanos) {
+        long now = services.nanoTime().getAsLong();
+        if (attempt != null && now - startNanos > maxNanos) {
+            attempt.backend.onFailure(now);
+        }
+    }
+
     /** Cancels the call of the attempt in progress and ends the attempt. */
     void cancel() {
         Attempt open = attempt;
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
@@ -151,8 +151,8 @@
         }
 
         @Override
-        public void onData(ByteBuf data) {
-            body.add(data);
+        public boolean onData(ByteBuf data) {
+            return body.add(data);
         }
 
         @Override
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
@@ -13,8 +13,12 @@
  */
 interface ResponseRelay {
 
-    /** Passes on a part of the body; the buffer is released. */
-    void data(ByteBuf data);
+    /**
+     * Passes on a part of the body; the buffer is released.
+     *
+     * @return false if the body exceeds the limits of the relay, so that the response cannot be completed
+     */
+    boolean data(ByteBuf data);
 
     /** Returns whether the response may end here, that is, whether no event is incomplete. */
     boolean isComplete();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -1,5 +1,7 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.concurrent.TimeUnit;
+
 import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendListener;
@@ -7,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,6 +20,12 @@
  */
 final class RunStage {
 
+    /** Limits the body of a response that is not passed on, in bytes; most have a short error text. */
+    private static final int MAX_DISCARDED_BYTES = 65_536;
+
+    /** Time in milliseconds for the body of a response that is not passed on. */
+    private static final long DISCARDED_BODY_MS = 250;
+
     private final ForwardServices services;
     private final ForwardRequest request;
     private final RequestTrace trace;
@@ -97,6 +106,8 @@
         private boolean isDiscarded;
         private boolean isNotRun;
         private @Nullable ResponseFields fields;
+        private @Nullable ScheduledFuture<?> bodyTimer;
+        private long discardedBytes;
         private int status;
 
         ResponseListener(Attempt started, Admission.AdmittedRequest admitted) {
@@ -108,32 +119,63 @@
         public void onHead(HttpResponse head) {
             status = head.status().code();
             fields = openAttempt.readHead(started, head);
-            isNotRun = fields.isNotRun();
-            if (isNotRun) {
-                isDiscarded = true;
-                return;
-            }
             String rejectionReason = ResponseChecks.rejectionReason(request, status, fields);
             if (rejectionReason != null) {
                 openAttempt.cancel();
                 interrupted(Failure.BROKEN_ANSWER, rejectionReason);
                 return;
             }
+            isNotRun = fields.isNotRun();
+            if (isNotRun) {
+                discard();
+                return;
+            }
+            boolean mayRepeat = listener.hasTimeLeft() && history.mayRepeatAfterThisRun(admitted.route(), relay);
             if (status >= ResponseChecks.SERVER_ERROR) {
-                if (listener.hasTimeLeft() && history.mayRepeatAfterThisRun(admitted.route(), relay)) {
+                if (mayRepeat) {
                     history.onPossibleRun();
-                    isDiscarded = true;
+                    discard();
                     return;
                 }
                 history.onComplete();
             }
+            if (mayRepeat && !admitted.route().getStreaming()) {
+                // The body follows its head at once unless the server or the connection is in trouble.
+                limitBodyTime(admitted.route().getTargetMs());
+            }
             if (!relay.hasStarted()) {
+                relay.release();
                 HttpHeaders headers = head.headers().copy();
                 services.dialect().removeInternalHeaders(headers);
                 relay = ResponseRelay.of(admitted.route(), status, headers, sink, this::onFirstByte);
             }
         }
 
+        /** Takes no more from the response than its head; the body is read so that the connection can be reused. */
+        private void discard() {
+            isDiscarded = true;
+            limitBodyTime(DISCARDED_BODY_MS);
+        }
+
+        private void limitBodyTime(long timeMs) {
+            bodyTimer = services.loop()
+                    .schedule(
+                            () -> {
+                                if (!relay.hasStarted()) {
+                                    String reason = "the body was not complete " + timeMs + " ms after the head";
+                                    openAttempt.fail(started, Failure.BROKEN_ANSWER, reason);
+                                }
+                            },
+                            timeMs,
+                            TimeUnit.MILLISECONDS);
+        }
+
+        private void cancelBodyTimer() {
+            if (bodyTimer != null) {
+                bodyTimer.cancel(false);
+            }
+        }
+
         private void onFirstByte() {
             started.isPrefillDone = true;
             started.backend.onPrefillDone(started.promptTokens);
@@ -142,28 +184,28 @@
         }
 
         @Override
-        public void onData(ByteBuf data) {
+        public boolean onData(ByteBuf data) {
             if (isDiscarded) {
+                discardedBytes += data.readableBytes();
                 data.release();
-                return;
+                return discardedBytes <= MAX_DISCARDED_BYTES;
             }
-            relay.data(data);
+            boolean isWithinLimits = relay.data(data);
             if (relay.hasStarted()) {
                 trace.onOutput();
             }
+            if (!sink.isWritable()) {
+                openAttempt.setReading(false);
+            }
+            return isWithinLimits;
         }
 
         @Override
         public void onEnd() {
+            cancelBodyTimer();
             openAttempt.end(started);
-            if (isNotRun && fields != null) {
-                ResponseChecks.onRefused(services, started.backend, fields);
-                trace.addTimedStep("not run, status " + status);
-                listener.onNotRun(status);
-            } else if (isDiscarded) {
-                trace.addTimedStep("status " + status + ", repeated");
-                services.metrics().onRetry("status");
-                listener.onRetry();
+            if (isDiscarded) {
+                onDiscardedEnd();
             } else if (!relay.isComplete()) {
                 interrupted(Failure.BROKEN_ANSWER, "the stream ended within an event");
             } else {
@@ -177,8 +219,28 @@
 
         @Override
         public void onFailure(Failure failure, String reason) {
+            cancelBodyTimer();
             openAttempt.end(started);
-            interrupted(failure, reason);
+            if (isDiscarded) {
+                // The head was complete, and what it states holds without its body.
+                trace.addTimedStep(failure + ": " + reason);
+                started.backend.onFailure(services.nanoTime().getAsLong());
+                onDiscardedEnd();
+            } else {
+                interrupted(failure, reason);
+            }
+        }
+
+        private void onDiscardedEnd() {
+            if (isNotRun && fields != null) {
+                ResponseChecks.onRefused(services, started.backend, fields);
+                trace.addTimedStep("not run, status " + status);
+                listener.onNotRun(status);
+            } else {
+                trace.addTimedStep("status " + status + ", repeated");
+                services.metrics().onRetry("status");
+                listener.onRetry();
+            }
         }
 
         private void interrupted(Failure failure, String reason) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
@@ -31,13 +31,13 @@
     }
 
     @Override
-    public void data(ByteBuf data) {
+    public boolean data(ByteBuf data) {
         ByteBuf completeEvents = events.add(data);
-        if (!completeEvents.isReadable()) {
-            return;
+        if (completeEvents.isReadable()) {
+            start();
+            sink.data(completeEvents);
         }
-        start();
-        sink.data(completeEvents);
+        return !events.isPartialTooLong();
     }
 
     private void start() {
@@ -84,6 +84,6 @@
 
     @Override
     public void release() {
-        events.discardPartial();
+        events.release();
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
@@ -214,6 +214,19 @@
         write(new DefaultHttpContent(data), true);
     }
 
+    @Override
+    public boolean isWritable() {
+        return context == null || context.channel().isWritable();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext changed) {
+        if (flow != null && changed.channel().isWritable()) {
+            flow.onCallerWritable();
+        }
+        changed.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void end() {
         finish(LastHttpContent.EMPTY_LAST_CONTENT);
--- a/src/test/java/io/chivehollow/coordination/forwarding/flow/EventSplitterTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/flow/EventSplitterTest.java
@@ -60,4 +60,23 @@
         assertEquals(add("data: a\n\n"), "data: a\n\n");
         assertEquals(splitter.lastId(), OptionalLong.empty());
     }
+
+    /** Guards against memory and processor time that grow with an event that has no end. */
+    @Test(timeOut = 5_000)
+    public void eventWithoutEndIsReportedAndScannedOnce() {
+        byte[] part = "x".repeat(1_024).getBytes(StandardCharsets.US_ASCII);
+        int parts = 16 * 1_024;
+        for (int i = 0; i < parts; i++) {
+            assertFalse(splitter.add(Unpooled.wrappedBuffer(part)).isReadable());
+            boolean isOverLimit = (i + 1) * part.length > EventSplitter.MAX_EVENT_BYTES;
+            assertEquals(splitter.isPartialTooLong(), isOverLimit, "after part " + i);
+        }
+    }
+
+    @Test
+    public void limitAppliesToOneEventOnly() {
+        String event = "data: " + "x".repeat(40_000) + "\n\n";
+        assertEquals(add(event + event + event), event + event + event);
+        assertFalse(splitter.isPartialTooLong());
+    }
 }
