Lend a team what the platform owes it in every window

The platform allows (rate x 8 s + burst) x 1.1 + 120,000 tokens in each window of 8 s. The bucket gave half of the 120,000 once: after a burst it refilled at the plain rate for good, about 115,000 tokens in each window of some 260,000.

Change: the settings state share and window of the tolerance; rate and burst are lent with the share, and a bucket refills faster by the part of its burst that was not in it during the last window, so that no window gets more than before in its best case. The part for outages of the lender (0.4) and the margin (0.1) stay.

Tests: teamOverItsRateGetsThreeQuartersOfWhatThePlatformAllows (failed with 461,096 of 655,300 tokens), with every window checked against the bound.

--- a/src/main/java/io/chivehollow/coordination/budget/BudgetOptions.java
+++ b/src/main/java/io/chivehollow/coordination/budget/BudgetOptions.java
@@ -14,7 +14,7 @@
  * @param inheritedLoanExpiryMs time in ms after which a new leader counts the loans of earlier leaders as spent
  * @param refundMarginMs time in ms added to the age of a refunded admission; can only lower the refund
  * @param advanceDivisor one borrower may borrow burst / advanceDivisor tokens in advance; 1 means no limit
- * @param deploymentMarginTokens tokens added to the burst of each team of a deployment
+ * @param tolerance by how much the teams of a deployment may exceed their limits
  */
 public record BudgetOptions(
         long validMs,
@@ -22,16 +22,7 @@
         long inheritedLoanExpiryMs,
         long refundMarginMs,
         int advanceDivisor,
-        long deploymentMarginTokens) {
-
-    /**
-     * The fraction 1 / TOLERANCE_DIVISOR of a deployment's tolerance is lent as additional burst.
-     *
-     * <p>The bursts of deployments cover only four to nine requests. Without the addition, requests that arrive at the
-     * same time are refused although the team is within the limit that the platform enforces. The other half of the
-     * tolerance is for {@link OfflineAllowance} and for requests that reach the platform later than they were admitted.
-     */
-    private static final int TOLERANCE_DIVISOR = 2;
+        Tolerance tolerance) {
 
     /**
      * With this divisor, 64 borrowers together borrow at most one burst in advance; the largest installation has 31
@@ -42,16 +33,12 @@
     /** Validates the options. */
     public BudgetOptions {
         checkArgument(validMs > 0, "validMs must be positive, but was %s", validMs);
-        checkArgument(
-                deploymentMarginTokens >= 0,
-                "deploymentMarginTokens must not be negative, but was %s",
-                deploymentMarginTokens);
     }
 
-    /** Creates options without a margin for deployments. */
+    /** Creates options without a tolerance for deployments. */
     public BudgetOptions(
             long validMs, long countAsSpentMs, long inheritedLoanExpiryMs, long refundMarginMs, int advanceDivisor) {
-        this(validMs, countAsSpentMs, inheritedLoanExpiryMs, refundMarginMs, advanceDivisor, 0);
+        this(validMs, countAsSpentMs, inheritedLoanExpiryMs, refundMarginMs, advanceDivisor, Tolerance.none());
     }
 
     /** Returns the default times, as docs/design.md sets them. */
@@ -65,15 +52,15 @@
      * <p>If tens of borrowers each borrowed the cost of one large request in advance, they would use up the whole
      * burst. Requests within the rate would then be refused because other borrowers have the tokens.
      *
-     * @param toleratedTokens tokens by which the platform lets a team of a deployment exceed its limit
+     * @param tolerance by how much the platform lets a team of a deployment exceed its limit
      */
-    public static BudgetOptions forSmallBursts(long toleratedTokens) {
-        return new BudgetOptions(3_000, 3_300, 3_300, 5_000, SMALL_BURST_DIVISOR, toleratedTokens / TOLERANCE_DIVISOR);
+    public static BudgetOptions forSmallBursts(Tolerance tolerance) {
+        return new BudgetOptions(3_000, 3_300, 3_300, 5_000, SMALL_BURST_DIVISOR, tolerance);
     }
 
     /** Returns the budget of a team of the released state; a team of a deployment has release number 0. */
     public TeamBudget budgetOf(Team team) {
-        long marginTokens = team.getReleaseNumber() == 0 ? deploymentMarginTokens : 0;
-        return new TeamBudget(team.getRateTokensPerSecond(), team.getBurstTokens() + marginTokens);
+        Tolerance applied = team.getReleaseNumber() == 0 ? tolerance : Tolerance.none();
+        return applied.extend(team.getRateTokensPerSecond(), team.getBurstTokens());
     }
 }
--- a/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
+++ b/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
@@ -22,7 +22,7 @@
     /** Time without use after which a response restores the allowance; exceeds the tolerance window of 8 s. */
     private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /** Fraction of the tolerance that is used; half is lent as burst, the rest is for requests that arrive late. */
+    /** Fraction of the tolerance that is used; half is lent, the rest is a margin. */
     private static final double USED_SHARE = 0.4;
 
     /** Minimum, because a new leader reports few borrowers at first; small installations have 6 to 8 processes. */
--- a/src/main/java/io/chivehollow/coordination/budget/TokenBucket.java
+++ b/src/main/java/io/chivehollow/coordination/budget/TokenBucket.java
@@ -23,6 +23,7 @@
  * <ul>
  *   <li>{@code outstanding} is the sum of the accounts.
  *   <li>The refill stops when {@code level} reaches the burst.
+ *   <li>Level and refill of any window of the budget do not exceed what the budget grants in a window.
  *   <li>No loan makes {@code outstanding} exceed {@code level}.
  *   <li>Loans since a checkpoint stay within the allowance, which the checkpoint counts as lent.
  * </ul>
@@ -178,9 +179,12 @@
         }
         nowNanos = toNanos;
         long burst = budget.burstTokens();
-        long rate = budget.rateTokensPerSecond();
         long elapsedNanos = nowNanos - refilledNanos;
-        long gained = elapsedNanos / SECOND_NANOS * rate + elapsedNanos % SECOND_NANOS * rate / SECOND_NANOS;
+        long highest = highestLevelInWindow();
+        long expected = gainedTokens(elapsedNanos, budget.refillTokensPerSecond(highest));
+        // The refill itself raises the level in the window.
+        long rate = budget.refillTokensPerSecond(Math.max(highest, level + expected));
+        long gained = gainedTokens(elapsedNanos, rate);
         if (level + gained >= burst) {
             level = Math.max(level, burst);
             refilledNanos = nowNanos;
@@ -192,6 +196,16 @@
         history.record(nowNanos, level);
     }
 
+    private static long gainedTokens(long elapsedNanos, long rate) {
+        return elapsedNanos / SECOND_NANOS * rate + elapsedNanos % SECOND_NANOS * rate / SECOND_NANOS;
+    }
+
+    /** Returns the highest level in the budget's window; a bucket counts as full at times that are not recorded. */
+    private long highestLevelInWindow() {
+        long startNanos = refilledNanos - (long) (budget.windowSeconds() * SECOND_NANOS);
+        return history.covers(startNanos) ? history.highestSince(startNanos) : budget.burstTokens();
+    }
+
     /** Applies a report about the borrower's loans of this period; returns false if the loans have expired. */
     boolean applyReport(BorrowerId borrower, long spentTokens, long unspentTokens) {
         Account account = accounts.get(borrower);
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -19,6 +19,7 @@
 import io.chivehollow.coordination.budget.BudgetOptions;
 import io.chivehollow.coordination.budget.OfflineAllowance;
 import io.chivehollow.coordination.budget.TeamBudget;
+import io.chivehollow.coordination.budget.Tolerance;
 import io.chivehollow.coordination.config.ConfigWatcher;
 import io.chivehollow.coordination.forwarding.ForwardingContext;
 import io.chivehollow.coordination.forwarding.ForwardingRole;
@@ -210,9 +211,13 @@
      * forwarded covers a few requests, while those of the gateway's own API are large.
      */
     private BudgetOptions budgetOptions() {
-        return settings.forwarding() == null
+        ForwardingSettings forwarding = settings.forwarding();
+        return forwarding == null
                 ? BudgetOptions.defaults()
-                : BudgetOptions.forSmallBursts(settings.forwarding().toleratedTokens());
+                : BudgetOptions.forSmallBursts(new Tolerance(
+                        forwarding.toleratedTokens(),
+                        forwarding.toleratedShare(),
+                        forwarding.toleranceWindowSeconds()));
     }
 
     private BorrowedBudget startBudget(
@@ -229,9 +234,7 @@
                     }
                 });
         reporter.set(register(BudgetReporter.start(borrower, control, resources.scheduler())));
-        long toleratedTokens =
-                settings.forwarding() == null ? 0 : settings.forwarding().toleratedTokens();
-        OfflineAllowance allowance = OfflineAllowance.of(toleratedTokens, resources.clock());
+        OfflineAllowance allowance = OfflineAllowance.of(options.tolerance().tokens(), resources.clock());
         return new BorrowedBudget(borrower, budgets, allowance, resources.clock());
     }
 
--- a/src/main/java/io/chivehollow/settings/ForwardingSettings.java
+++ b/src/main/java/io/chivehollow/settings/ForwardingSettings.java
@@ -15,8 +15,9 @@
  * @param backendListAddress address of the platform's list of backend servers
  * @param backendListPeriodMs time between two reads of that list
  * @param freshnessMs longest proven age of the configuration up to which requests with an API key are served
- * @param toleratedTokens tokens by which a team may exceed its rate while no replica lends budgets, summed over all
- *     processes
+ * @param toleratedTokens tokens by which a team of a deployment may exceed its limit, at all processes together
+ * @param toleratedShare share of its limit by which a team of a deployment may exceed it in addition
+ * @param toleranceWindowSeconds time window in seconds to which the tolerance applies, 0 if it is not known
  * @param shutdownMs longest time that a shutdown waits for open requests
  */
 public record ForwardingSettings(
@@ -29,4 +30,6 @@
         int backendListPeriodMs,
         int freshnessMs,
         long toleratedTokens,
+        double toleratedShare,
+        double toleranceWindowSeconds,
         int shutdownMs) {}
--- a/src/main/java/io/chivehollow/settings/ObjectReader.java
+++ b/src/main/java/io/chivehollow/settings/ObjectReader.java
@@ -79,6 +79,18 @@
         return (int) wholeNumber(field, (long) defaultValue, (long) min, (long) max);
     }
 
+    double number(String field, double defaultValue, double min, double max) {
+        JsonNode value = get(field);
+        if (value.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!value.isNumber() || value.doubleValue() < min || value.doubleValue() > max) {
+            fault(field, value, "a number from " + min + " to " + max);
+            return defaultValue;
+        }
+        return value.doubleValue();
+    }
+
     <E extends Enum<E>> E optionalChoice(String field, E defaultValue) {
         return get(field).isMissingNode() ? defaultValue : choice(field, defaultValue.getDeclaringClass());
     }
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -179,6 +179,8 @@
                 reader.wholeNumber("backend_list_period_ms", DEFAULT_BACKEND_LIST_PERIOD_MS, 100, 60_000),
                 reader.wholeNumber("freshness_ms", DEFAULT_FRESHNESS_MS, 500, 600_000),
                 reader.wholeNumber("tolerated_tokens", 0L, 0L, 1L << 50),
+                reader.number("tolerated_share", 0, 0, 1),
+                reader.number("tolerance_window_s", 0, 0, 3_600),
                 reader.wholeNumber("shutdown_ms", DEFAULT_FORWARDING_SHUTDOWN_MS, 0, 3_600_000));
         reader.checkNoOtherFields();
         return settings;
--- a/src/test/java/io/chivehollow/coordination/budget/BudgetBorrowerTest.java
+++ b/src/test/java/io/chivehollow/coordination/budget/BudgetBorrowerTest.java
@@ -121,8 +121,8 @@
     @Test
     public void smallBurstsAreNotBorrowedInAdvanceForLargeRequests() {
         assertTrue(advanceTokens(BudgetOptions.defaults(), 300) > 0);
-        assertEquals(advanceTokens(BudgetOptions.forSmallBursts(0), 300), 0);
-        long forSmallRequests = advanceTokens(BudgetOptions.forSmallBursts(0), 10);
+        assertEquals(advanceTokens(BudgetOptions.forSmallBursts(Tolerance.none()), 300), 0);
+        long forSmallRequests = advanceTokens(BudgetOptions.forSmallBursts(Tolerance.none()), 10);
         assertTrue(forSmallRequests <= 1_000 / 64, forSmallRequests + " tokens");
     }
 }
--- a/src/test/java/io/chivehollow/coordination/budget/BudgetOptionsTest.java
+++ b/src/test/java/io/chivehollow/coordination/budget/BudgetOptionsTest.java
@@ -11,6 +11,7 @@
 import io.chivehollow.coordination.simulation.SimulatedTime;
 import io.chivehollow.protocol.wire.SavedBudget;
 import io.chivehollow.protocol.wire.Team;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -24,6 +25,7 @@
 
     private static final long RATE_TOKENS_PER_SECOND = 47_000;
     private static final long TOLERATED_TOKENS = 190_000;
+    private static final long WINDOW_S = 8;
     private static final long REQUEST_TOKENS = 7_400;
     private static final LendingPeriod PERIOD = new LendingPeriod(1, 0);
     private static final TeamId TEAM = TeamId.of("team");
@@ -63,21 +65,96 @@
     @Test
     public void simultaneousRequestsWithinTheToleranceAreAdmitted() {
         assertEquals(
-                admittedSimultaneousRequests(BudgetOptions.forSmallBursts(0)), RATE_TOKENS_PER_SECOND / REQUEST_TOKENS);
-        assertEquals(admittedSimultaneousRequests(BudgetOptions.forSmallBursts(TOLERATED_TOKENS)), 15);
+                admittedSimultaneousRequests(BudgetOptions.forSmallBursts(Tolerance.none())),
+                RATE_TOKENS_PER_SECOND / REQUEST_TOKENS);
+        assertEquals(
+                admittedSimultaneousRequests(BudgetOptions.forSmallBursts(Tolerance.ofTokens(TOLERATED_TOKENS))), 15);
     }
 
     /** Teams of a release get no margin, because their rate and burst are guaranteed limits. */
     @Test
     public void releasedTeamsKeepTheirBurst() {
-        BudgetOptions options = BudgetOptions.forSmallBursts(TOLERATED_TOKENS);
+        BudgetOptions options = BudgetOptions.forSmallBursts(Tolerance.ofTokens(TOLERATED_TOKENS));
         assertEquals(options.budgetOf(team(3)).burstTokens(), RATE_TOKENS_PER_SECOND);
         assertEquals(BudgetOptions.defaults().budgetOf(team(0)).burstTokens(), RATE_TOKENS_PER_SECOND);
     }
 
+    private static BudgetBorrower borrower(Function<TeamId, Optional<TeamBudget>> budgets, SimulatedTime time) {
+        return BudgetBorrower.create(
+                InstanceId.of("g"), 1, BudgetOptions.forSmallBursts(tolerance()), budgets, time.clock(1, 0), () -> {});
+    }
+
+    /** Plays 40 s of a team that asks for four times its rate; returns the tokens admitted in each 100 ms. */
+    private static long[] admittedOverTheRate() {
+        BudgetOptions options = BudgetOptions.forSmallBursts(tolerance());
+        SimulatedTime time = new SimulatedTime();
+        Function<TeamId, Optional<TeamBudget>> budgets = id -> Optional.of(options.budgetOf(team(0)));
+        BudgetLender lender = BudgetLender.create(options);
+        lender.start(PERIOD, List.of());
+        BudgetBorrower borrower = borrower(budgets, time);
+        time.runUntilMs(TimeUnit.SECONDS.toMillis(10));
+        long[] admitted = new long[400];
+        for (int tenth = 0; tenth < admitted.length; tenth++) {
+            time.runUntilMs(TimeUnit.SECONDS.toMillis(10) + tenth * 100L);
+            var requests = IntStream.range(0, 4 * (int) (RATE_TOKENS_PER_SECOND / REQUEST_TOKENS) / 10 + 1)
+                    .mapToObj(i -> borrower.reserve(TEAM, REQUEST_TOKENS, 80))
+                    .toList();
+            for (int i = 0; i < 4; i++) {
+                var report = borrower.nextReport();
+                lender.needsCheckpoint(report, budgets, PERIOD, time.nowNanos());
+                List<SavedBudget> checkpoint = lender.startCheckpoint(budgets, PERIOD, time.nowNanos());
+                lender.endCheckpoint(PERIOD, checkpoint, true);
+                borrower.onLoan(
+                        lender.borrow(report, budgets, PERIOD, time.nowNanos()).orElseThrow());
+            }
+            admitted[tenth] = REQUEST_TOKENS
+                    * requests.stream().filter(request -> request.isDone()).count();
+            requests.forEach(request -> request.cancel(false));
+        }
+        return admitted;
+    }
+
+    private static long sum(long[] values, int from, int to) {
+        return IntStream.range(from, to).mapToLong(i -> values[i]).sum();
+    }
+
+    /**
+     * Guards against refusals of a team that stays over its rate: the platform owes it burst and tolerance in every
+     * window, not only once.
+     */
     @Test
-    public void marginAndAllowancesStayBelowTheTolerance() {
-        long margin = BudgetOptions.forSmallBursts(TOLERATED_TOKENS).deploymentMarginTokens();
+    public void teamOverItsRateGetsThreeQuartersOfWhatThePlatformAllows() {
+        long limit = WINDOW_S * RATE_TOKENS_PER_SECOND + RATE_TOKENS_PER_SECOND;
+        long allowedTokens = (long) (limit * 1.1) + TOLERATED_TOKENS;
+        long[] admitted = admittedOverTheRate();
+        int window = (int) WINDOW_S * 10;
+        for (int start = 0; start + window <= admitted.length; start++) {
+            long inWindow = sum(admitted, start, start + window);
+            assertTrue(inWindow <= allowedTokens - TOLERATED_TOKENS / 2, inWindow + " from tenth " + start);
+        }
+        long sustained = sum(admitted, 200, 200 + 2 * window) / 2;
+        assertTrue(sustained >= allowedTokens * 3 / 4, sustained + " of " + allowedTokens);
+    }
+
+    @DataProvider
+    public Object[][] tolerances() {
+        return new Object[][] {{Tolerance.ofTokens(TOLERATED_TOKENS)}, {tolerance()}};
+    }
+
+    private static Tolerance tolerance() {
+        return new Tolerance(TOLERATED_TOKENS, 0.1, WINDOW_S);
+    }
+
+    private static TeamBudget rateAndBurst(Tolerance tolerance) {
+        return BudgetOptions.forSmallBursts(tolerance).budgetOf(team(0));
+    }
+
+    @Test(dataProvider = "tolerances")
+    public void marginAndAllowancesStayBelowTheTolerance(Tolerance tolerance) {
+        TeamBudget budget = rateAndBurst(tolerance);
+        long limit = WINDOW_S * RATE_TOKENS_PER_SECOND + RATE_TOKENS_PER_SECOND;
+        long lentTokens = WINDOW_S * budget.rateTokensPerSecond() + budget.burstTokens();
+        long margin = lentTokens - (long) (limit * (1 + tolerance.share()));
         SimulatedTime time = new SimulatedTime();
         long offline = 0;
         for (int process = 0; process < 29; process++) {
