Decide pools, retries and waits by what the service shows and the platform states

Cause: placement and retries had the figures of two installations written in.

Change: EngineEstimates learns prefill speed, tokens of prompts and of runs, and the time of runs from the process's own calls. Waits derive from the target time, the longest prompt of a decode server from the allowed pause and the speed, cold rates from the deployment, retries from the settings (retry_share, retry_slack, retry_window_s).

--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -14,6 +14,8 @@
 import io.chivehollow.coordination.forwarding.flow.Admission;
 import io.chivehollow.coordination.forwarding.flow.ForwardMetrics;
 import io.chivehollow.coordination.forwarding.flow.ForwardServices;
+import io.chivehollow.coordination.forwarding.flow.RetryLimits;
+import io.chivehollow.coordination.forwarding.flow.SharedLimits;
 import io.chivehollow.coordination.forwarding.ingress.Ingress;
 import io.chivehollow.coordination.forwarding.stage.RoleChangeSender;
 import io.chivehollow.settings.ForwardingSettings;
@@ -66,15 +68,19 @@
                 context.scheduler(),
                 settings.backendListPeriodMs());
         listPoller.start();
+        Admission admission = Admission.create(config, context.random());
         ForwardServices services = ForwardServices.of(
                 loop,
                 System::nanoTime,
                 adapter.dialect(),
-                Admission.create(config, context.random()),
+                admission,
                 context.budget(),
-                BackendSelector.create(table, context.random(), context.processCount()),
+                BackendSelector.create(
+                        table, context.random(), context.processCount(), admission::coldRequestsPerSecond),
                 connections,
-                context.processCount(),
+                new SharedLimits(
+                        new RetryLimits(settings.retryShare(), settings.retrySlack(), settings.retryWindowSeconds()),
+                        context.processCount()),
                 ForwardMetrics.create(context.registry()));
         RoleChangeSender.start(
                 context.instance(),
@@ -84,7 +90,9 @@
                 context.control()::submit,
                 adapter.dialect(),
                 table,
-                connections);
+                connections,
+                service ->
+                        table.estimates(service).decodeServersPerPrefillServer(admission.serverMemoryTokens(service)));
         this.ingress = Ingress.start(settings.address(), services);
         this.operatorEndpoint = Endpoint.start(
                 settings.operatorAddress(),
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -6,6 +6,7 @@
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
 import io.chivehollow.coordination.forwarding.adapter.BackendLoad;
+import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 import io.netty.channel.Channel;
 import org.jspecify.annotations.Nullable;
 
@@ -32,7 +33,8 @@
     private static final long FULL_NANOS = 50_000_000L;
 
     final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
-    private final PromptQueue promptQueue = new PromptQueue();
+    private final EngineEstimates estimates;
+    private final PromptQueue promptQueue;
     private BackendEntry entry;
     private long coldEndNanos = Long.MIN_VALUE / 2;
     private long suspectEndNanos = Long.MIN_VALUE / 2;
@@ -48,8 +50,10 @@
     private boolean isListed = true;
     private boolean isReplaced;
 
-    Backend(BackendEntry entry, long nowNanos) {
+    Backend(BackendEntry entry, EngineEstimates estimates, long nowNanos) {
         this.entry = entry;
+        this.estimates = estimates;
+        this.promptQueue = new PromptQueue(estimates);
         this.lastColdSendNanos = nowNanos - Long.MAX_VALUE / 4;
         update(entry, nowNanos);
     }
@@ -163,6 +167,11 @@
         return requests(nowNanos) - openRequests;
     }
 
+    /** Returns the estimates for the service of this server. */
+    public EngineEstimates estimates() {
+        return estimates;
+    }
+
     /** Returns the estimated prompt queue of a prefill server. */
     public PromptQueue promptQueue() {
         return promptQueue;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
@@ -12,6 +12,7 @@
 
 import io.chivehollow.base.FailureDomain;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
+import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 
 /**
  * Selects backend servers.
@@ -22,53 +23,52 @@
  */
 public final class BackendSelector {
 
-    /**
-     * Requests per second that all processes together send to a cold backend server; the users' two installations
-     * tolerate 6.9 and 8.8.
-     */
-    private static final double COLD_REQUESTS_PER_SECOND = 6;
+    /** Requests per second to a cold server whose service does not state how many it tolerates. */
+    private static final double DEFAULT_COLD_REQUESTS_PER_SECOND = 6;
 
-    private static final double NANOS_PER_SECOND = 1e9;
+    /** Share of the tolerated requests to a cold server that is used; processes may not agree on their number. */
+    private static final double COLD_RATE_SHARE = 0.85;
 
-    /**
-     * Assumed prompt size in tokens of requests of other processes, whose size is unknown; the mean of the users'
-     * two installations.
-     */
-    private static final double MEAN_REQUEST_TOKENS = 5_000;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     /**
-     * Additional prompt wait in milliseconds that is accepted to keep the prefill in the failure domain of the decode
-     * server.
+     * Additional prompt wait that is accepted to keep the prefill in the failure domain of the decode server, as a
+     * share of the target time.
      *
      * <p>A transfer of the KV cache between domains takes twice as long and costs three times as much.
      */
-    private static final double CROSS_DOMAIN_PENALTY_MS = 36;
+    private static final double CROSS_DOMAIN_TARGET_SHARE = 0.04;
 
     /**
-     * Wait for a prefill server above which the decode server, at half the speed, completes a typical prefill sooner.
+     * Wait for a prefill server above which the decode server runs a short prefill itself, as a share of the target
+     * time.
      */
-    private static final double MAX_PROMPT_WAIT_MS = 200;
+    private static final double LONG_WAIT_TARGET_SHARE = 2.0 / 9;
 
     /**
-     * Longest prompt for which a decode server runs the prefill itself.
-     *
-     * <p>Such a prefill delays the events of all runs at that server by 145 to 190 ms; the time between events is 50 to
-     * 65 ms, and 300 ms are allowed.
+     * Longest wait for a prefill server with which a request that has waited for memory still meets its target, as a
+     * share of the target time.
      */
-    private static final long MAX_DECODE_SERVER_PROMPT_TOKENS = 4_000;
+    private static final double BUSY_WAIT_TARGET_SHARE = 1.0 / 3;
 
-    /**
-     * Longest wait for a prefill server with which a request still meets a target of 0.9 s after it has waited for
-     * memory.
-     */
-    private static final double BUSY_PREFILL_WAIT_MS = 300;
+    /** Speed of a prefill at a decode server, as a share of that at a prefill server. */
+    private static final double DECODE_SERVER_PREFILL_SPEED = 0.5;
+
+    /** Share of the longest pause between events that a prefill at a decode server may take from its runs. */
+    private static final double PREFILL_GAP_SHARE = 0.5;
 
     private final BackendTable table;
     private final RandomGenerator random;
     private final IntSupplier processCount;
+    private final ToDoubleFunction<String> coldRequestsPerSecond;
 
-    private BackendSelector(BackendTable table, RandomGenerator random, IntSupplier processCount) {
+    private BackendSelector(
+            BackendTable table,
+            RandomGenerator random,
+            IntSupplier processCount,
+            ToDoubleFunction<String> coldRequestsPerSecond) {
         this.processCount = processCount;
+        this.coldRequestsPerSecond = coldRequestsPerSecond;
         this.table = table;
         this.random = random;
     }
@@ -79,9 +79,19 @@
      * @param table the backend servers
      * @param random resolves ties
      * @param processCount number of processes that share the request rate of cold servers
+     * @param coldRequestsPerSecond requests per second that a cold server of the service tolerates, 0 if not known
      */
+    public static BackendSelector create(
+            BackendTable table,
+            RandomGenerator random,
+            IntSupplier processCount,
+            ToDoubleFunction<String> coldRequestsPerSecond) {
+        return new BackendSelector(table, random, processCount, coldRequestsPerSecond);
+    }
+
+    /** Returns a selector for services that do not state how many requests a cold server tolerates. */
     public static BackendSelector create(BackendTable table, RandomGenerator random, IntSupplier processCount) {
-        return new BackendSelector(table, random, processCount);
+        return create(table, random, processCount, service -> 0);
     }
 
     /** Returns the least loaded server of the service that may run a request, other than the excluded ones. */
@@ -104,7 +114,9 @@
                 candidates(service, EnumSet.of(Role.DECODE), Set.of(), isOutOfService, nowNanos),
                 backend -> !backend.lacksMemory(tokens, nowNanos));
         return leastLoaded(
-                withMemory, backend -> backend.memoryTokens() + backend.requests(nowNanos) * MEAN_REQUEST_TOKENS);
+                withMemory,
+                backend -> backend.memoryTokens()
+                        + backend.otherRequests(nowNanos) * backend.estimates().meanMemoryTokens());
     }
 
     /**
@@ -115,36 +127,38 @@
      * itself and has no other prompt of this process.
      */
     public Optional<Backend> selectPrefillServer(
-            String service,
-            long tokens,
+            PromptDemand demand,
             Set<String> excluded,
             Backend decodeServer,
             Predicate<FailureDomain> isOutOfService,
             long nowNanos) {
         Optional<Backend> best = leastLoaded(
-                candidates(service, EnumSet.of(Role.PREFILL), excluded, isOutOfService, nowNanos),
+                candidates(demand.service(), EnumSet.of(Role.PREFILL), excluded, isOutOfService, nowNanos),
                 backend -> promptWaitMs(backend, nowNanos)
                         + (backend.entry().domain().equals(decodeServer.entry().domain())
                                 ? 0
-                                : CROSS_DOMAIN_PENALTY_MS));
-        boolean isDecodeServerFaster = isShortPrompt(tokens)
+                                : demand.targetMs() * CROSS_DOMAIN_TARGET_SHARE));
+        boolean isDecodeServerFaster = isShortPrompt(demand)
                 && decodeServer.promptTokens() == 0
                 && best.isPresent()
-                && promptWaitMs(best.get(), nowNanos) > MAX_PROMPT_WAIT_MS;
+                && promptWaitMs(best.get(), nowNanos) > demand.targetMs() * LONG_WAIT_TARGET_SHARE;
         return isDecodeServerFaster ? Optional.empty() : best;
     }
 
-    /** Returns whether a decode server may run the prefill beside its runs. */
-    public static boolean isShortPrompt(long promptTokens) {
-        return promptTokens <= MAX_DECODE_SERVER_PROMPT_TOKENS;
+    /** Returns whether a decode server may run the prefill beside its runs, whose events it delays. */
+    public boolean isShortPrompt(PromptDemand demand) {
+        double decodeServerSpeed = table.estimates(demand.service()).prefillTokensPerMs() * DECODE_SERVER_PREFILL_SPEED;
+        return demand.tokens() <= demand.gapMs() * PREFILL_GAP_SHARE * decodeServerSpeed;
     }
 
     /** Returns whether the prompt is too long for a decode server and would wait too long at every prefill server. */
-    public boolean isPrefillBusy(String service, long tokens, Predicate<FailureDomain> isOutOfService, long nowNanos) {
-        List<Backend> servers = candidates(service, EnumSet.of(Role.PREFILL), Set.of(), isOutOfService, nowNanos);
-        return !isShortPrompt(tokens)
+    public boolean isPrefillBusy(PromptDemand demand, Predicate<FailureDomain> isOutOfService, long nowNanos) {
+        List<Backend> servers =
+                candidates(demand.service(), EnumSet.of(Role.PREFILL), Set.of(), isOutOfService, nowNanos);
+        double maxWaitMs = demand.targetMs() * BUSY_WAIT_TARGET_SHARE;
+        return !isShortPrompt(demand)
                 && !servers.isEmpty()
-                && servers.stream().allMatch(server -> promptWaitMs(server, nowNanos) > BUSY_PREFILL_WAIT_MS);
+                && servers.stream().allMatch(server -> promptWaitMs(server, nowNanos) > maxWaitMs);
     }
 
     /**
@@ -152,9 +166,10 @@
      * at the server, and from the observed times of this process's prompts.
      */
     private static double promptWaitMs(Backend backend, long nowNanos) {
-        double queuedTokens = backend.promptTokens() + backend.otherRequests(nowNanos) * MEAN_REQUEST_TOKENS;
+        EngineEstimates estimates = backend.estimates();
+        double queuedTokens = backend.promptTokens() + backend.otherRequests(nowNanos) * estimates.meanPromptTokens();
         return Math.max(
-                queuedTokens / PromptQueue.PREFILL_TOKENS_PER_MS,
+                queuedTokens / estimates.prefillTokensPerMs(),
                 backend.promptQueue().waitMs(nowNanos));
     }
 
@@ -182,12 +197,15 @@
         if (!warm.isEmpty()) {
             return warm;
         }
-        return filter(usable, backend -> nowNanos - backend.lastColdSendNanos() > coldIntervalNanos());
+        double coldIntervalNanos = coldIntervalNanos(service);
+        return filter(usable, backend -> nowNanos - backend.lastColdSendNanos() > coldIntervalNanos);
     }
 
     /** Returns the interval between two requests of this process to a cold server, whose rate all processes share. */
-    private double coldIntervalNanos() {
-        return processCount.getAsInt() / COLD_REQUESTS_PER_SECOND * NANOS_PER_SECOND;
+    private double coldIntervalNanos(String service) {
+        double stated = coldRequestsPerSecond.applyAsDouble(service);
+        double perSecond = stated > 0 ? stated * COLD_RATE_SHARE : DEFAULT_COLD_REQUESTS_PER_SECOND;
+        return processCount.getAsInt() / perSecond * NANOS_PER_SECOND;
     }
 
     private static List<Backend> filter(List<Backend> backends, Predicate<Backend> condition) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
@@ -10,6 +10,7 @@
 import java.util.function.LongSupplier;
 
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
+import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 import org.jboss.logging.Logger;
 
 /**
@@ -23,6 +24,7 @@
     private static final Logger LOG = Logger.getLogger(BackendTable.class);
 
     private final Map<String, Backend> byId = new HashMap<>();
+    private final Map<String, EngineEstimates> estimatesByService = new HashMap<>();
     private final LongSupplier nanoTime;
 
     private BackendTable(LongSupplier nanoTime) {
@@ -45,7 +47,7 @@
                 LOG.infof(
                         "Backend server %s of service %s at %s was added to the list, role %s",
                         entry.id(), entry.service(), entry.address(), entry.role());
-                byId.put(entry.id(), new Backend(entry, now));
+                byId.put(entry.id(), new Backend(entry, estimates(entry.service()), now));
             } else {
                 logChange(backend.entry(), entry);
                 backend.update(entry, now);
@@ -72,6 +74,11 @@
         }
     }
 
+    /** Returns the estimates for the servers of the service. */
+    public EngineEstimates estimates(String service) {
+        return estimatesByService.computeIfAbsent(service, id -> EngineEstimates.create());
+    }
+
     /** Returns all listed backend servers. */
     public Collection<Backend> all() {
         return byId.values();
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/PromptQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/PromptQueue.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
+
 /**
  * Estimates how long a prompt waits at a prefill server, from the prompts that this process has sent to it.
  *
@@ -12,9 +14,6 @@
  */
 public final class PromptQueue {
 
-    /** Prompt tokens that an idle server processes in a millisecond; the same in all installations. */
-    static final double PREFILL_TOKENS_PER_MS = 55;
-
     /**
      * Share of the time since the last prompt by which the queue is assumed to have shrunk; other processes may have
      * sent prompts since.
@@ -23,11 +22,14 @@
 
     private static final double NANOS_TO_MS = 1.0 / TimeUnit.MILLISECONDS.toNanos(1);
 
+    private final EngineEstimates estimates;
     private final Map<Object, PendingPrompt> pending = new HashMap<>();
     private double lastWaitMs;
     private long lastNanos;
 
-    PromptQueue() {}
+    PromptQueue(EngineEstimates estimates) {
+        this.estimates = estimates;
+    }
 
     /** Records a prompt that is sent; the key identifies it in {@link #onEnd}. */
     public void onStart(Object key, long tokens, long nowNanos) {
@@ -40,7 +42,10 @@
         if (ended == null) {
             return;
         }
-        double waitMs = ended.waitMs(nowNanos);
+        if (isPrefilled) {
+            estimates.onPrefill(ended.tokens(), ended.elapsedMs(nowNanos));
+        }
+        double waitMs = waitMs(ended, nowNanos);
         if (isPrefilled || waitMs > waitMs(nowNanos)) {
             lastWaitMs = waitMs;
             lastNanos = nowNanos;
@@ -51,16 +56,21 @@
     double waitMs(long nowNanos) {
         double waitMs = Math.max(0, lastWaitMs - (nowNanos - lastNanos) * NANOS_TO_MS * DRAIN_SHARE);
         for (PendingPrompt prompt : pending.values()) {
-            waitMs = Math.max(waitMs, prompt.waitMs(nowNanos));
+            waitMs = Math.max(waitMs, waitMs(prompt, nowNanos));
         }
         return waitMs;
     }
 
+    /** Returns the time of the prompt beyond that at an idle server. */
+    private double waitMs(PendingPrompt prompt, long nowNanos) {
+        return Math.max(0, prompt.elapsedMs(nowNanos) - prompt.tokens() / estimates.prefillTokensPerMs());
+    }
+
     /** A prompt whose prefill has not ended. */
     private record PendingPrompt(long startNanos, long tokens) {
 
-        double waitMs(long nowNanos) {
-            return Math.max(0, (nowNanos - startNanos) * NANOS_TO_MS - tokens / PREFILL_TOKENS_PER_MS);
+        double elapsedMs(long nowNanos) {
+            return (nowNanos - startNanos) * NANOS_TO_MS;
         }
     }
 }
--- /dev/null
+++ b/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
@@ -0,0 +1,126 @@
+package io.chivehollow.coordination.forwarding.estimate;
+
+import java.util.Arrays;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Estimates for the language model engines of one service, from the prompts and runs of this process.
+ *
+ * <p>Invariants: every estimate is positive, and starts with a stated value until the first calls have ended. Has no
+ * clock; callers pass durations. Used on the event loop of the forwarding role only.
+ */
+public final class EngineEstimates {
+
+    /** Start value of the prefill speed in prompt tokens per millisecond. */
+    public static final double START_PREFILL_TOKENS_PER_MS = 55;
+
+    /** Start value of the tokens of a prompt, and of the memory that a request occupies. */
+    private static final double START_REQUEST_TOKENS = 5_000;
+
+    /** Start value of the time for which a run occupies its memory, in milliseconds. */
+    private static final double START_RUN_MS = 2_500;
+
+    /**
+     * Number of recent prompts of which the fastest shows the speed of an idle server; most prompts of a burst wait
+     * behind others.
+     */
+    private static final int SPEED_SAMPLES = 32;
+
+    /** Weight of a new sample in the means. */
+    private static final double MEAN_WEIGHT = 0.1;
+
+    /** Prompts or runs after which the samples describe the service; the first ones may all have waited. */
+    private static final int MIN_SAMPLES = 8;
+
+    private static final double MAX_PREFILL_TOKENS_PER_MS = 100_000;
+
+    private final double[] speeds = new double[SPEED_SAMPLES];
+    private int speedCount;
+    private double prefillTokensPerMs = START_PREFILL_TOKENS_PER_MS;
+    private double meanPromptTokens = START_REQUEST_TOKENS;
+    private double meanMemoryTokens = START_REQUEST_TOKENS;
+    private double meanRunMs = START_RUN_MS;
+    private int promptCount;
+    private int runCount;
+
+    private EngineEstimates() {}
+
+    /** Returns estimates that have their start values. */
+    public static EngineEstimates create() {
+        return new EngineEstimates();
+    }
+
+    /**
+     * Records a prompt that a prefill server has processed.
+     *
+     * @param tokens number of prompt tokens
+     * @param durationMs time in milliseconds from sending the prompt to the response
+     * @throws IllegalArgumentException if an argument is negative
+     */
+    public void onPrefill(long tokens, double durationMs) {
+        checkArgument(tokens >= 0, "tokens must not be negative, but was %s", tokens);
+        checkArgument(durationMs >= 0, "durationMs must not be negative, but was %s", durationMs);
+        if (tokens == 0 || durationMs == 0) {
+            return;
+        }
+        speeds[speedCount++ % SPEED_SAMPLES] = Math.min(tokens / durationMs, MAX_PREFILL_TOKENS_PER_MS);
+        double fastest = Arrays.stream(speeds).max().orElseThrow();
+        prefillTokensPerMs = speedCount < MIN_SAMPLES ? Math.max(fastest, START_PREFILL_TOKENS_PER_MS) : fastest;
+        meanPromptTokens = mean(meanPromptTokens, tokens, promptCount++);
+    }
+
+    /**
+     * Records a run that has ended with a complete response.
+     *
+     * @param memoryTokens memory that was reserved for the run
+     * @param durationMs time in milliseconds for which the run occupied it
+     * @throws IllegalArgumentException if an argument is negative
+     */
+    public void onRun(long memoryTokens, double durationMs) {
+        checkArgument(memoryTokens >= 0, "memoryTokens must not be negative, but was %s", memoryTokens);
+        checkArgument(durationMs >= 0, "durationMs must not be negative, but was %s", durationMs);
+        if (memoryTokens == 0 || durationMs == 0) {
+            return;
+        }
+        meanMemoryTokens = mean(meanMemoryTokens, memoryTokens, runCount);
+        meanRunMs = mean(meanRunMs, durationMs, runCount++);
+    }
+
+    /** The first samples count more, so that the start value is soon forgotten. */
+    private static double mean(double current, double sample, int count) {
+        double weight = Math.max(MEAN_WEIGHT, 1.0 / (count + 1));
+        return current + (sample - current) * weight;
+    }
+
+    /** Returns the prompt tokens that an idle prefill server processes in a millisecond. */
+    public double prefillTokensPerMs() {
+        return prefillTokensPerMs;
+    }
+
+    /** Returns the mean number of tokens of a prompt. */
+    public double meanPromptTokens() {
+        return meanPromptTokens;
+    }
+
+    /** Returns the mean number of tokens of memory that a request reserves. */
+    public double meanMemoryTokens() {
+        return meanMemoryTokens;
+    }
+
+    /**
+     * Returns how many decode servers one prefill server keeps busy, or 0 as long as too few requests have ended.
+     *
+     * <p>A request occupies a prefill server for the time of its prompt, and a decode server for the time of its run
+     * times its share of the memory.
+     *
+     * @param serverMemoryTokens memory of one decode server in tokens
+     */
+    public double decodeServersPerPrefillServer(long serverMemoryTokens) {
+        if (promptCount < MIN_SAMPLES || runCount < MIN_SAMPLES || serverMemoryTokens <= 0) {
+            return 0;
+        }
+        double prefillMs = meanPromptTokens / prefillTokensPerMs();
+        return meanRunMs * Math.min(1, meanMemoryTokens / serverMemoryTokens) / prefillMs;
+    }
+}
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -9,8 +9,10 @@
 import io.chivehollow.base.TeamId;
 import io.chivehollow.coordination.config.ConfigView;
 import io.chivehollow.coordination.config.Configuration;
+import io.chivehollow.coordination.forwarding.backend.PromptDemand;
 import io.chivehollow.coordination.forwarding.route.RouteTable;
 import io.chivehollow.protocol.wire.ForwardRoute;
+import io.chivehollow.protocol.wire.ForwardService;
 import io.chivehollow.protocol.wire.TeamAccess;
 import org.jspecify.annotations.Nullable;
 
@@ -66,6 +68,20 @@
         return Optional.ofNullable(table);
     }
 
+    /** Returns the requests per second that a cold server of the service tolerates, 0 if it is not known. */
+    public double coldRequestsPerSecond(String service) {
+        return routes().flatMap(routes -> routes.service(service))
+                .map(ForwardService::getColdRequestsPerSecond)
+                .orElse(0.0);
+    }
+
+    /** Returns the memory of one decode server of the service in tokens, 0 if it is not known. */
+    public long serverMemoryTokens(String service) {
+        return routes().flatMap(routes -> routes.service(service))
+                .map(found -> found.getEngine().getKvTokens())
+                .orElse(0L);
+    }
+
     /** Returns whether operators have taken the failure domain out of service. */
     boolean isOutOfService(FailureDomain domain) {
         return config.current().map(current -> current.isOutOfService(domain)).orElse(false);
@@ -159,6 +175,10 @@
                             : access.getDefaultTokens());
         }
 
+        PromptDemand promptDemand(ForwardRequest request) {
+            return new PromptDemand(service, request.fields().promptTokens(), route.getTargetMs(), route.getGapMs());
+        }
+
         int priority() {
             return access != null && access.getHasPriority() ? access.getPriority() : route.getPriority();
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -166,8 +166,7 @@
         } else if (!run.history().hasAttempt()
                 && services.selector()
                         .isPrefillBusy(
-                                accepted.service(),
-                                request.fields().promptTokens(),
+                                accepted.promptDemand(request),
                                 this::isOutOfService,
                                 services.nanoTime().getAsLong())) {
             waitForPrefill(accepted);
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
@@ -1,6 +1,5 @@
 package io.chivehollow.coordination.forwarding.flow;
 
-import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 import io.chivehollow.coordination.forwarding.adapter.Dialect;
@@ -40,7 +39,7 @@
         RetrySchedule retrySchedule,
         ForwardMetrics metrics) {
 
-    /** Returns services with a full retry budget; the process count states how many processes share the limits. */
+    /** Returns services with a full retry budget. */
     public static ForwardServices of(
             EventLoop loop,
             LongSupplier nanoTime,
@@ -49,7 +48,7 @@
             TokenBudget budget,
             BackendSelector selector,
             BackendConnections connections,
-            IntSupplier processCount,
+            SharedLimits limits,
             ForwardMetrics metrics) {
         return new ForwardServices(
                 loop,
@@ -60,8 +59,8 @@
                 selector,
                 connections,
                 MemoryQueue.create(loop, nanoTime, dialect, selector, connections),
-                new RetryBudget(nanoTime, processCount),
-                new RetrySchedule(nanoTime, processCount),
+                new RetryBudget(limits.retries(), nanoTime, limits.processCount()),
+                new RetrySchedule(nanoTime, limits.processCount()),
                 metrics);
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
@@ -9,7 +9,6 @@
 import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendListener;
-import io.chivehollow.coordination.forwarding.backend.BackendSelector;
 import io.chivehollow.coordination.forwarding.backend.BodyCollector;
 import io.chivehollow.coordination.forwarding.backend.ShortResponse;
 import io.netty.buffer.ByteBuf;
@@ -79,8 +78,7 @@
             Admission.AdmittedRequest admitted, Backend decodeServer, Predicate<FailureDomain> isOutOfService) {
         return services.selector()
                 .selectPrefillServer(
-                        admitted.service(),
-                        request.fields().promptTokens(),
+                        admitted.promptDemand(request),
                         openAttempt.triedServers(),
                         decodeServer,
                         isOutOfService,
@@ -197,7 +195,7 @@
             // A prefill of a long prompt on a decode server would delay all its runs for a response that is already
             // late.
             long elapsedNanos = services.nanoTime().getAsLong() - request.arrivalNanos();
-            isTooLate = !BackendSelector.isShortPrompt(started.promptTokens)
+            isTooLate = !services.selector().isShortPrompt(admitted.promptDemand(request))
                     && elapsedNanos
                             > TimeUnit.MILLISECONDS.toNanos(admitted.route().getTargetMs());
             trace.addTimedStep("prefill " + failure + ": " + reason);
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RetryBudget.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RetryBudget.java
@@ -8,41 +8,37 @@
 /**
  * Limits the retries of this process for each service.
  *
- * <p>The retries of all processes together must stay below a fifth of the requests plus 58 in ten seconds. Each process
- * earns retries as a smaller share of its own requests and as a small amount per second, so that the sum stays below
- * the limit without coordination, also during a partition. Used on the event loop of the forwarding role only.
+ * <p>The retries of all processes together must stay within the limits of the platform. Each process earns retries as a
+ * part of the share of its own requests and as a small amount per second, so that the sum stays below the limit without
+ * coordination, also during a partition. Used on the event loop of the forwarding role only.
  */
 final class RetryBudget {
 
-    /**
-     * Retries earned for each request of this process; below the fifth that the users' installations allow, because
-     * requests are counted in windows.
-     */
-    private static final double RETRIES_PER_REQUEST = 0.15;
+    /** Part of the share that is used, because requests are counted in windows. */
+    private static final double USED_SHARE = 0.75;
 
-    /**
-     * Retries per second that all processes together earn over time. In 10 s these are 24, which together with the 32
-     * accumulated ones stay below the limit of 58 in 10 s that is added to a fifth of the requests.
-     */
-    private static final double RETRIES_PER_SECOND = 2.4;
+    /** Part of the slack that all processes together may accumulate. */
+    private static final double ACCUMULATED_SLACK = 0.55;
 
-    /** Retries that all processes together may accumulate. */
-    private static final double MAX_ACCUMULATED = 32;
+    /** Part of the slack that all processes together earn in a window; with the accumulated one below the slack. */
+    private static final double EARNED_SLACK = 0.41;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    private final RetryLimits limits;
     private final LongSupplier nanoTime;
     private final IntSupplier processCount;
     private final Map<String, Balance> balances = new HashMap<>();
 
-    RetryBudget(LongSupplier nanoTime, IntSupplier processCount) {
+    RetryBudget(RetryLimits limits, LongSupplier nanoTime, IntSupplier processCount) {
+        this.limits = limits;
         this.nanoTime = nanoTime;
         this.processCount = processCount;
     }
 
     void onRequest(String service) {
         Balance balance = balance(service);
-        balance.retries = Math.min(maxAccumulated(), balance.retries + RETRIES_PER_REQUEST);
+        balance.retries = Math.min(maxAccumulated(), balance.retries + limits.share() * USED_SHARE);
     }
 
     /** Takes one retry from the budget; returns false if there is none. */
@@ -60,15 +56,15 @@
      * retried at any number of processes.
      */
     private double maxAccumulated() {
-        return Math.max(1, MAX_ACCUMULATED / processCount.getAsInt());
+        return Math.max(1, limits.slack() * ACCUMULATED_SLACK / processCount.getAsInt());
     }
 
     private Balance balance(String service) {
         long now = nanoTime.getAsLong();
         Balance balance = balances.computeIfAbsent(service, id -> new Balance(maxAccumulated(), now));
         double seconds = (now - balance.updatedNanos) / NANOS_PER_SECOND;
-        balance.retries =
-                Math.min(maxAccumulated(), balance.retries + seconds * RETRIES_PER_SECOND / processCount.getAsInt());
+        double earnedPerSecond = limits.slack() * EARNED_SLACK / limits.windowSeconds() / processCount.getAsInt();
+        balance.retries = Math.min(maxAccumulated(), balance.retries + seconds * earnedPerSecond);
         balance.updatedNanos = now;
         return balance;
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -26,6 +26,8 @@
     /** Time in milliseconds for the body of a response that is not passed on. */
     private static final long DISCARDED_BODY_MS = 250;
 
+    private static final double NANOS_PER_MS = 1e6;
+
     private final ForwardServices services;
     private final ForwardRequest request;
     private final RequestTrace trace;
@@ -103,6 +105,7 @@
 
         private final Attempt started;
         private final Admission.AdmittedRequest admitted;
+        private final long startNanos = services.nanoTime().getAsLong();
         private boolean isDiscarded;
         private boolean isNotRun;
         private @Nullable ResponseFields fields;
@@ -210,6 +213,7 @@
                 interrupted(Failure.BROKEN_ANSWER, "the stream ended within an event");
             } else {
                 started.backend.onSuccess();
+                started.backend.estimates().onRun(started.memoryTokens, openMs());
                 history.onComplete();
                 trace.addTimedStep("status " + status);
                 relay.end();
@@ -231,6 +235,10 @@
             }
         }
 
+        private double openMs() {
+            return (services.nanoTime().getAsLong() - startNanos) / NANOS_PER_MS;
+        }
+
         private void onDiscardedEnd() {
             if (isNotRun && fields != null) {
                 ResponseChecks.onRefused(services, started.backend, fields);
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/RoleChangeSender.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/RoleChangeSender.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.ToDoubleFunction;
 
 import io.chivehollow.base.InstanceId;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
@@ -30,8 +31,8 @@
  *
  * <p>Invariants: only the instance that leads the replicas sends commands, and only after it has led for longer than a
  * command of an earlier leader can be in flight. Each command carries a fencing number from the replicated log that is
- * higher than those of all earlier commands to the same server. One command is in progress at a time. Used on the event
- * loop of the forwarding role.
+ * higher than those of all earlier commands to the same server. A server gets no further command while an earlier one
+ * may still be carried out. Used on the event loop of the forwarding role.
  */
 public final class RoleChangeSender {
 
@@ -48,10 +49,10 @@
     private static final long MIN_STABLE_LIST_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /**
-     * Interval between two commands. The changed server serves requests again 6 s after a role change, and the list is
-     * updated with a delay; a command without a response may still take effect 12 s later.
+     * Time for which a server counts as changing its role after a command. It serves requests again 6 s after a role
+     * change, and the list is updated with a delay; a command without a response may still take effect 12 s later.
      */
-    private static final long COMMAND_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(15);
+    private static final long COMMAND_VALID_NANOS = TimeUnit.SECONDS.toNanos(15);
 
     /** Servers accept a command at once; a command without a response may still be carried out. */
     private static final int COMMAND_TIMEOUT_MS = 1_000;
@@ -67,11 +68,12 @@
     private final Dialect dialect;
     private final BackendTable table;
     private final BackendConnections connections;
+    private final ToDoubleFunction<String> decodePerPrefill;
     private Map<String, BackendEntry.Role> lastRoles = Map.of();
     private long rolesStableSinceNanos;
     private long leaderSinceNanos;
     private boolean wasLeader;
-    private long nextCommandNanos;
+    private final Map<String, Long> commandNanos = new HashMap<>();
 
     private RoleChangeSender(
             InstanceId instance,
@@ -81,7 +83,8 @@
             Function<Command, CompletableFuture<CommandResult>> proposer,
             Dialect dialect,
             BackendTable table,
-            BackendConnections connections) {
+            BackendConnections connections,
+            ToDoubleFunction<String> decodePerPrefill) {
         this.instance = instance;
         this.loop = loop;
         this.nanoTime = nanoTime;
@@ -90,7 +93,7 @@
         this.dialect = dialect;
         this.table = table;
         this.connections = connections;
-        this.nextCommandNanos = nanoTime.getAsLong();
+        this.decodePerPrefill = decodePerPrefill;
     }
 
     /**
@@ -104,6 +107,7 @@
      * @param dialect translates the commands to backend servers
      * @param table the backend servers
      * @param connections connections to the backend servers
+     * @param decodePerPrefill decode servers that one prefill server of a service keeps busy, 0 if not known
      */
     public static void start(
             InstanceId instance,
@@ -113,9 +117,10 @@
             Function<Command, CompletableFuture<CommandResult>> proposer,
             Dialect dialect,
             BackendTable table,
-            BackendConnections connections) {
-        RoleChangeSender sender =
-                new RoleChangeSender(instance, loop, nanoTime, isLeader, proposer, dialect, table, connections);
+            BackendConnections connections,
+            ToDoubleFunction<String> decodePerPrefill) {
+        RoleChangeSender sender = new RoleChangeSender(
+                instance, loop, nanoTime, isLeader, proposer, dialect, table, connections, decodePerPrefill);
         loop.scheduleWithFixedDelay(sender::checkRoles, CHECK_PERIOD_MS, CHECK_PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -133,8 +138,10 @@
         }
         boolean isSettled =
                 now - leaderSinceNanos >= MIN_LEADERSHIP_NANOS && now - rolesStableSinceNanos >= MIN_STABLE_LIST_NANOS;
-        if (isSettled && now - nextCommandNanos >= 0) {
-            RolePlanner.next(entries).ifPresent(change -> requestFencingNumber(change, now));
+        commandNanos.values().removeIf(sentNanos -> now - sentNanos >= COMMAND_VALID_NANOS);
+        if (isSettled) {
+            RolePlanner.next(entries, commandNanos.keySet(), decodePerPrefill)
+                    .forEach(change -> requestFencingNumber(change, now));
         }
     }
 
@@ -148,7 +155,7 @@
     }
 
     private void requestFencingNumber(RoleChange change, long now) {
-        nextCommandNanos = now + COMMAND_INTERVAL_NANOS;
+        commandNanos.put(change.backendServer(), now);
         Command command = Command.newBuilder()
                 .setNextFencingNumber(NextFencingNumber.newBuilder()
                         .setBackendServer(change.backendServer())
--- a/src/main/java/io/chivehollow/settings/ForwardingSettings.java
+++ b/src/main/java/io/chivehollow/settings/ForwardingSettings.java
@@ -18,6 +18,9 @@
  * @param toleratedTokens tokens by which a team of a deployment may exceed its limit, at all processes together
  * @param toleratedShare share of its limit by which a team of a deployment may exceed it in addition
  * @param toleranceWindowSeconds time window in seconds to which the tolerance applies, 0 if it is not known
+ * @param retryShare retries that the platform tolerates for each request to a service
+ * @param retrySlack retries that it tolerates in addition, in each window at all processes together
+ * @param retryWindowSeconds time window in seconds in which it counts retries
  * @param shutdownMs longest time that a shutdown waits for open requests
  */
 public record ForwardingSettings(
@@ -32,4 +35,7 @@
         long toleratedTokens,
         double toleratedShare,
         double toleranceWindowSeconds,
+        double retryShare,
+        double retrySlack,
+        double retryWindowSeconds,
         int shutdownMs) {}
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -52,6 +52,10 @@
     private static final int DEFAULT_FRESHNESS_MS = 3_000;
 
     /** The installations give a process 8 s after SIGTERM; the rest is for the replica to transfer leadership. */
+    private static final double DEFAULT_RETRY_SHARE = 0.2;
+
+    private static final double DEFAULT_RETRY_SLACK = 50;
+    private static final double DEFAULT_RETRY_WINDOW_S = 10;
     private static final int DEFAULT_FORWARDING_SHUTDOWN_MS = 7_000;
 
     private static final JsonMapper MAPPER = JsonMapper.builder()
@@ -181,6 +185,9 @@
                 reader.wholeNumber("tolerated_tokens", 0L, 0L, 1L << 50),
                 reader.number("tolerated_share", 0, 0, 1),
                 reader.number("tolerance_window_s", 0, 0, 3_600),
+                reader.number("retry_share", DEFAULT_RETRY_SHARE, 0, 10),
+                reader.number("retry_slack", DEFAULT_RETRY_SLACK, 0, 1e9),
+                reader.number("retry_window_s", DEFAULT_RETRY_WINDOW_S, 0.1, 3_600),
                 reader.wholeNumber("shutdown_ms", DEFAULT_FORWARDING_SHUTDOWN_MS, 0, 3_600_000));
         reader.checkNoOtherFields();
         return settings;
--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendSelectorTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendSelectorTest.java
@@ -11,6 +11,7 @@
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
 import io.chivehollow.coordination.forwarding.adapter.BackendLoad;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -162,7 +163,7 @@
         nowNanos += 400 * MS;
         assertEquals(selectPrefillServer(), "none");
         assertEquals(
-                selector.selectPrefillServer("s", 8_000, Set.of(), backend("d"), domain -> false, nowNanos)
+                selector.selectPrefillServer(demand(8_000), Set.of(), backend("d"), domain -> false, nowNanos)
                         .map(Backend::id)
                         .orElse("none"),
                 "p");
@@ -176,16 +177,20 @@
         listServer("p", Role.PREFILL, "in", false, 0);
         backend("p").promptQueue().onStart("a", 5_000, nowNanos);
         nowNanos += 350 * MS;
-        assertFalse(selector.isPrefillBusy("s", 6_000, domain -> false, nowNanos));
+        assertFalse(selector.isPrefillBusy(demand(6_000), domain -> false, nowNanos));
         nowNanos += 50 * MS;
-        assertTrue(selector.isPrefillBusy("s", 6_000, domain -> false, nowNanos));
-        assertFalse(selector.isPrefillBusy("s", 2_000, domain -> false, nowNanos));
+        assertTrue(selector.isPrefillBusy(demand(6_000), domain -> false, nowNanos));
+        assertFalse(selector.isPrefillBusy(demand(2_000), domain -> false, nowNanos));
         listServer("q", Role.PREFILL, "in", false, 0);
-        assertFalse(selector.isPrefillBusy("s", 6_000, domain -> false, nowNanos));
+        assertFalse(selector.isPrefillBusy(demand(6_000), domain -> false, nowNanos));
+    }
+
+    private static PromptDemand demand(long tokens) {
+        return new PromptDemand("s", tokens, 900, 300);
     }
 
     private String selectPrefillServer() {
-        return selector.selectPrefillServer("s", 3_000, Set.of(), backend("d"), domain -> false, nowNanos)
+        return selector.selectPrefillServer(demand(3_000), Set.of(), backend("d"), domain -> false, nowNanos)
                 .map(Backend::id)
                 .orElse("none");
     }
@@ -203,4 +208,64 @@
         assertEquals(
                 selector.selectForMemory("s", 6_000, domain -> false, nowNanos).isPresent(), true);
     }
+
+    @DataProvider
+    public Object[][] speedFactors() {
+        return new Object[][] {{0.1}, {1.0}, {10.0}};
+    }
+
+    /**
+     * Guards against decisions with the speed of one known engine: how long a prompt waits behind others, and whether a
+     * decode server may run a prefill beside its runs, depend on the speed that the service has shown.
+     */
+    @Test(dataProvider = "speedFactors")
+    public void decisionsFollowTheSpeedOfTheService(double factor) {
+        listServer("d", Role.DECODE, "in", false, 0);
+        listServer("p", Role.PREFILL, "in", false, 0);
+        double tokensPerMs = 55 * factor;
+        for (int i = 0; i < 8; i++) {
+            table.estimates("s").onPrefill(5_000, 5_000 / tokensPerMs);
+        }
+        long longest = (long) (150 * tokensPerMs / 2);
+        assertTrue(selector.isShortPrompt(demand(longest)));
+        assertFalse(selector.isShortPrompt(demand(longest * 11 / 10)));
+        long queued = (long) (300 * tokensPerMs);
+        backend("p").onStart(queued * 11 / 10, 0, nowNanos);
+        assertTrue(selector.isPrefillBusy(demand(longest * 2), domain -> false, nowNanos));
+        backend("p").onEnd(queued * 11 / 10, 0);
+        backend("p").onStart(queued * 9 / 10, 0, nowNanos);
+        assertFalse(selector.isPrefillBusy(demand(longest * 2), domain -> false, nowNanos));
+    }
+
+    /** A server full of long runs of other processes must not look emptier than one with many short ones. */
+    @Test
+    public void memoryOfOtherProcessesFollowsTheSizeOfTheServicesRequests() {
+        listServer("a", Role.DECODE, "in", false, 0);
+        listServer("b", Role.DECODE, "in", false, 0);
+        table.estimates("s").onRun(13_000, 2_000);
+        backend("a").onLoad(new BackendLoad(2, 0, 8), nowNanos);
+        backend("b").onReserve(20_000);
+        assertEquals(
+                selector.selectForMemory("s", 1_000, domain -> false, nowNanos)
+                        .map(Backend::id)
+                        .orElse("none"),
+                "b");
+    }
+
+    /** The rate that a service states for its cold servers holds, whatever those of other deployments tolerate. */
+    @Test
+    public void coldRateFollowsTheDeployment() {
+        selector = BackendSelector.create(table, new Random(1), () -> 8, service -> 40);
+        listServer("cold", Role.PLAIN, "in", false, 6_000);
+        int sent = 0;
+        for (int i = 0; i < 400; i++) {
+            if (!selectServer(Set.of()).equals("none")) {
+                backend("cold").onStart(0, 0, nowNanos);
+                sent++;
+            }
+            nowNanos += 10 * MS;
+        }
+        assertTrue(8 * sent <= 4 * 40 + 8, sent + " requests of one of eight processes in 4 s");
+        assertTrue(8 * sent >= 4 * 24, sent + " requests of one of eight processes in 4 s");
+    }
 }
--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/PromptLoadTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/PromptLoadTest.java
@@ -11,6 +11,7 @@
 import io.chivehollow.base.FailureDomain;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
+import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertTrue;
@@ -80,6 +81,10 @@
         return new BackendEntry(id, "s", address, FailureDomain.of("zone"), false, 0, role, 8);
     }
 
+    private static PromptDemand demand(long tokens) {
+        return new PromptDemand("s", tokens, 900, 300);
+    }
+
     private Outcome simulate(int seed, boolean isEstimated) {
         Outcome outcome = new Outcome();
         Random random = new Random(seed);
@@ -113,7 +118,7 @@
             PriorityQueue<Event> events,
             long[] freeNanos,
             Outcome outcome) {
-        if (process.selector.isPrefillBusy("s", tokens, domain -> false, nowNanos)) {
+        if (process.selector.isPrefillBusy(demand(tokens), domain -> false, nowNanos)) {
             if (nowNanos - arrivalNanos <= MAX_WAIT_NANOS) {
                 events.add(new Event(
                         nowNanos + RETRY_NANOS,
@@ -122,7 +127,7 @@
             return;
         }
         Optional<Backend> server = process.selector.selectPrefillServer(
-                "s", tokens, Set.of(), process.backend("d"), domain -> false, nowNanos);
+                demand(tokens), Set.of(), process.backend("d"), domain -> false, nowNanos);
         if (server.isEmpty()) {
             outcome.decodeServerPrefills++;
             return;
@@ -135,7 +140,7 @@
         }
         int index = backend.id().equals("p1") ? 0 : 1;
         long begin = Math.max(nowNanos, freeNanos[index]);
-        long end = begin + (long) (tokens / PromptQueue.PREFILL_TOKENS_PER_MS * MS);
+        long end = begin + (long) (tokens / EngineEstimates.START_PREFILL_TOKENS_PER_MS * MS);
         freeNanos[index] = end;
         outcome.processed++;
         outcome.late += begin - nowNanos > LATE_NANOS ? 1 : 0;
--- a/src/test/java/io/chivehollow/coordination/forwarding/flow/RetryBudgetTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/flow/RetryBudgetTest.java
@@ -12,14 +12,16 @@
 
     private static final long SECOND_NANOS = 1_000_000_000L;
 
+    private static final RetryLimits LIMITS = new RetryLimits(0.2, 58, 10);
+
     private long nowNanos;
     private int processes = 8;
-    private RetryBudget budget = new RetryBudget(() -> nowNanos, () -> processes);
+    private RetryBudget budget = new RetryBudget(LIMITS, () -> nowNanos, () -> processes);
 
     @BeforeMethod
     public void start() {
         processes = 8;
-        budget = new RetryBudget(() -> nowNanos, () -> processes);
+        budget = new RetryBudget(LIMITS, () -> nowNanos, () -> processes);
     }
 
     private int acquireAll(String service) {
@@ -57,4 +59,12 @@
         assertEquals(acquireAll("b"), first);
         assertEquals(acquireAll("a"), 0);
     }
+
+    /** Guards against limits of one known platform: each deployment states its own. */
+    @Test
+    public void budgetFollowsTheStatedLimits() {
+        int small = acquireAll("s");
+        budget = new RetryBudget(new RetryLimits(0.2, 580, 10), () -> nowNanos, () -> processes);
+        assertTrue(acquireAll("s") >= 9 * small);
+    }
 }
