Reserve memory for no longer than the deployment allows

Reservations were asked for 2 s whatever the deployment stated (holdMs); servers of a deployment that allows less would have refused every prompt. The timeout of a prefill follows the reservation.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -11,6 +11,7 @@
 import io.chivehollow.coordination.config.Configuration;
 import io.chivehollow.coordination.forwarding.backend.PromptDemand;
 import io.chivehollow.coordination.forwarding.route.RouteTable;
+import io.chivehollow.protocol.wire.EngineLimits;
 import io.chivehollow.protocol.wire.ForwardRoute;
 import io.chivehollow.protocol.wire.ForwardService;
 import io.chivehollow.protocol.wire.TeamAccess;
@@ -35,6 +36,9 @@
      */
     private static final long DEFAULT_PREFILL_EXPIRY_MS = 800;
 
+    /** Covers the time from the grant of a reservation to the end of the prefill; servers may allow less. */
+    private static final long MAX_RESERVATION_MS = 2_000;
+
     private static final double MS_PER_S = 1_000;
 
     /** Name of the team in logs and metrics for requests without one. */
@@ -111,7 +115,7 @@
         String service = RouteTable.selectService(route.get(), random.nextDouble());
         if (route.get().getOpen() || !routes.get().hasTeams()) {
             return Optional.of(new AdmittedRequest(
-                    routes.get().revision(), route.get(), service, prefillExpiryMs(routes.get(), service), null));
+                    routes.get().revision(), route.get(), service, serviceTimes(routes.get(), service), null));
         }
         if (!isFresh) {
             onRefusal.accept(stale("This instance cannot prove that its API keys are current"));
@@ -128,31 +132,42 @@
             return Optional.empty();
         }
         return Optional.of(new AdmittedRequest(
-                routes.get().revision(), route.get(), service, prefillExpiryMs(routes.get(), service), team.get()));
+                routes.get().revision(), route.get(), service, serviceTimes(routes.get(), service), team.get()));
     }
 
-    private static long prefillExpiryMs(RouteTable routes, String service) {
-        double seconds = routes.service(service)
-                .map(found -> found.getEngine().getHandleSeconds())
-                .orElse(0.0);
-        return seconds > 0 ? (long) (seconds * MS_PER_S) : DEFAULT_PREFILL_EXPIRY_MS;
+    private static ServiceTimes serviceTimes(RouteTable routes, String service) {
+        EngineLimits engine =
+                routes.service(service).map(ForwardService::getEngine).orElse(EngineLimits.getDefaultInstance());
+        double handleSeconds = engine.getHandleSeconds();
+        double reservationMs = engine.getReservationMs();
+        return new ServiceTimes(
+                handleSeconds > 0 ? (long) (handleSeconds * MS_PER_S) : DEFAULT_PREFILL_EXPIRY_MS,
+                reservationMs > 0 ? (long) Math.min(MAX_RESERVATION_MS, reservationMs) : MAX_RESERVATION_MS);
     }
 
     private static Refusal stale(String message) {
         return Refusal.retryAfter(ErrorCode.CONFIGURATION_STALE, message, STALE_RETRY_MS);
     }
 
+    /**
+     * Times for which the servers of a service retain what a request has obtained.
+     *
+     * @param prefillExpiryMs time in milliseconds for which the result of a prefill is retained
+     * @param reservationMs time in milliseconds for which reserved memory is retained
+     */
+    record ServiceTimes(long prefillExpiryMs, long reservationMs) {}
+
     /**
      * An admitted request with its route, service and team.
      *
      * @param revision revision of the deployment that admitted the request
      * @param route the matched route
      * @param service the service selected by the weights of the route
-     * @param prefillExpiryMs time in milliseconds for which the service retains the result of a prefill
+     * @param times times for which the service retains what the request has obtained
      * @param access the team; null on open routes
      */
     record AdmittedRequest(
-            long revision, ForwardRoute route, String service, long prefillExpiryMs, @Nullable TeamAccess access) {
+            long revision, ForwardRoute route, String service, ServiceTimes times, @Nullable TeamAccess access) {
 
         Optional<TeamId> limitedTeam() {
             return access == null || access.getRatePerSecond() <= 0
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
@@ -67,8 +67,13 @@
         // The time of a failed attempt was not spent on waiting.
         long maxWaitMs = maxWaitMs(admitted, isLate) - (hasEarlierAttempt ? 0 : elapsedMs());
         long tokens = neededTokens();
-        MemoryRequest memoryRequest =
-                new MemoryRequest(admitted.service(), tokens, isLate, Math.max(1, maxWaitMs), isOutOfService);
+        MemoryRequest memoryRequest = new MemoryRequest(
+                admitted.service(),
+                tokens,
+                admitted.times().reservationMs(),
+                isLate,
+                Math.max(1, maxWaitMs),
+                isOutOfService);
         queued = services.memoryQueue().add(memoryRequest, granted -> {
             queued = null;
             if (granted == null) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
@@ -24,8 +24,11 @@
  */
 final class PrefillStage {
 
-    /** Shorter than a reservation, which lasts 2 s; if a prefill is abandoned sooner, its work is mostly wasted. */
-    private static final int TIMEOUT_MS = 1_800;
+    /**
+     * Time after which a prefill is abandoned, as a share of the time of the memory reservation; sooner, its work would
+     * mostly be wasted.
+     */
+    private static final double TIMEOUT_RESERVATION_SHARE = 0.9;
 
     /** Maximum number of prefill servers to which one prompt is sent; the second one counts as a retry. */
     private static final int MAX_ATTEMPTS = 2;
@@ -91,9 +94,9 @@
         Attempt started = new Attempt(backend, prompt, 0, true);
         openAttempt.start(started);
         backend.promptQueue().onStart(started, prompt, services.nanoTime().getAsLong());
+        int timeoutMs = (int) (admitted.times().reservationMs() * TIMEOUT_RESERVATION_SHARE);
         openAttempt.onSent(
-                started,
-                services.connections().send(backend, httpRequest, new Listener(started, admitted), TIMEOUT_MS));
+                started, services.connections().send(backend, httpRequest, new Listener(started, admitted), timeoutMs));
     }
 
     /** Forgets a result that the prefill server no longer retains. */
@@ -180,7 +183,8 @@
                         read,
                         services.dialect()
                                 .transferSource(started.backend.entry().addressText(), read.handle()),
-                        services.nanoTime().getAsLong() + TimeUnit.MILLISECONDS.toNanos(admitted.prefillExpiryMs()));
+                        services.nanoTime().getAsLong()
+                                + TimeUnit.MILLISECONDS.toNanos(admitted.times().prefillExpiryMs()));
             } catch (IllegalArgumentException e) {
                 trace.addTimedStep("the prefill's answer cannot be read: " + e.getMessage());
             }
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -30,9 +30,6 @@
  */
 public final class MemoryQueue {
 
-    /** Covers the time from the grant to the end of the prefill; installations retain a reservation for at most 2 s. */
-    private static final int RESERVATION_MS = 2_000;
-
     /** Concurrent reservation requests for one service; each takes a round trip of a few milliseconds. */
     private static final int MAX_OPEN_REQUESTS = 4;
 
@@ -172,7 +169,7 @@
             backend.onReserve(tokens);
             connections.send(
                     backend,
-                    dialect.reserve(backend.id(), tokens, RESERVATION_MS),
+                    dialect.reserve(backend.id(), tokens, queued.request.reservationMs()),
                     new ShortResponse((status, body) -> onResponse(queued, backend, tokens, status, body)),
                     ShortResponse.TIMEOUT_MS);
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryRequest.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryRequest.java
@@ -11,9 +11,15 @@
  *
  * @param service service that is to run the request
  * @param tokens memory for the prompt and the output, in tokens
+ * @param reservationMs time in milliseconds for which the memory is to be reserved
  * @param isLate whether the request has already missed its target, so that other requests are served first
  * @param maxWaitMs time in milliseconds after which the request is refused
  * @param isOutOfService tells whether a failure domain is out of service
  */
 public record MemoryRequest(
-        String service, long tokens, boolean isLate, long maxWaitMs, Predicate<FailureDomain> isOutOfService) {}
+        String service,
+        long tokens,
+        long reservationMs,
+        boolean isLate,
+        long maxWaitMs,
+        Predicate<FailureDomain> isOutOfService) {}
