Reserve for the outputs that the callers of a service expect

Cause: OutputEstimate took a third of the output limit for the median output, as in the first two installations.

Change: EngineEstimates takes the geometric mean of the callers' estimates, which are right at the median, once eight are known.

Ruled out, in a simulation only (not committed): a late request that needs only its own memory while none on time has waited for a quarter of its time.

OutputEstimateTest.medianOfTheServiceReplacesTheShareOfTheLimit plays the outputs of the lamp sites.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
@@ -94,6 +94,11 @@
         return create(table, random, processCount, service -> 0);
     }
 
+    /** Returns the estimates for the servers of the service. */
+    public EngineEstimates estimates(String service) {
+        return table.estimates(service);
+    }
+
     /** Returns the least loaded server of the service that may run a request, other than the excluded ones. */
     public Optional<Backend> selectServer(
             String service, Set<String> excluded, Predicate<FailureDomain> isOutOfService, long nowNanos) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
@@ -41,8 +41,10 @@
     private double meanPromptTokens = START_REQUEST_TOKENS;
     private double meanMemoryTokens = START_REQUEST_TOKENS;
     private double meanRunMs = START_RUN_MS;
+    private double meanLogExpectedTokens;
     private int promptCount;
     private int runCount;
+    private int expectedCount;
 
     private EngineEstimates() {}
 
@@ -70,6 +72,29 @@
         meanPromptTokens = mean(meanPromptTokens, tokens, promptCount++);
     }
 
+    /**
+     * Records the caller's estimate of an output.
+     *
+     * @param expectedTokens the estimate in tokens, 0 if there is none
+     * @throws IllegalArgumentException if the estimate is negative
+     */
+    public void onExpectedOutput(long expectedTokens) {
+        checkArgument(expectedTokens >= 0, "expectedTokens must not be negative, but was %s", expectedTokens);
+        if (expectedTokens > 0) {
+            meanLogExpectedTokens = mean(meanLogExpectedTokens, Math.log(expectedTokens), expectedCount++);
+        }
+    }
+
+    /**
+     * Returns the median output in tokens, 0 as long as too few callers have estimated theirs.
+     *
+     * <p>Callers' estimates are right at the median, and too high as often as too low, so that their geometric mean is
+     * near the median output.
+     */
+    public double medianOutputTokens() {
+        return expectedCount < MIN_SAMPLES ? 0 : Math.exp(meanLogExpectedTokens);
+    }
+
     /**
      * Records a run that has ended with a complete response.
      *
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
@@ -4,6 +4,7 @@
 import java.util.function.Predicate;
 
 import io.chivehollow.base.FailureDomain;
+import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 import io.chivehollow.coordination.forwarding.reserve.MemoryRequest;
 import io.chivehollow.coordination.forwarding.reserve.MemoryReservation;
 import io.chivehollow.coordination.forwarding.reserve.OutputEstimate;
@@ -66,7 +67,11 @@
                 || hasEarlierAttempt && elapsedMs() > admitted.route().getTargetMs();
         // The time of a failed attempt was not spent on waiting.
         long maxWaitMs = maxWaitMs(admitted, isLate) - (hasEarlierAttempt ? 0 : elapsedMs());
-        long tokens = neededTokens();
+        EngineEstimates estimates = services.selector().estimates(admitted.service());
+        if (!hasEarlierAttempt) {
+            estimates.onExpectedOutput(request.fields().expectedOutputTokens());
+        }
+        long tokens = neededTokens(estimates.medianOutputTokens());
         MemoryRequest memoryRequest = new MemoryRequest(
                 admitted.service(),
                 tokens,
@@ -97,11 +102,12 @@
     }
 
     /** Returns the memory in tokens that the request most likely needs; a run that needs more may be preempted. */
-    private long neededTokens() {
+    private long neededTokens(double medianOutputTokens) {
         return request.fields().promptTokens()
                 + OutputEstimate.reservedTokens(
                         request.fields().expectedOutputTokens(),
-                        request.fields().maxOutputTokens());
+                        request.fields().maxOutputTokens(),
+                        medianOutputTokens);
     }
 
     private long elapsedMs() {
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/OutputEstimate.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/OutputEstimate.java
@@ -11,11 +11,8 @@
  */
 public final class OutputEstimate {
 
-    /**
-     * Ratio of the output limit to the median output; in the users' two installations the limit is three times the
-     * median.
-     */
-    private static final double LIMIT_TO_MEDIAN = 3;
+    /** Ratio of the output limit to the median output of a service whose median is not known yet. */
+    private static final double DEFAULT_LIMIT_TO_MEDIAN = 3;
 
     /**
      * Weight of the caller's estimate relative to the median, on a logarithmic scale.
@@ -34,15 +31,17 @@
      *
      * @param expectedTokens the caller's estimate in tokens, 0 if there is none
      * @param limitTokens the largest output that the caller allows, in tokens
+     * @param medianTokens the median output of the service in tokens, 0 if it is not known
      * @throws IllegalArgumentException if an argument is negative
      */
-    public static long reservedTokens(long expectedTokens, long limitTokens) {
+    public static long reservedTokens(long expectedTokens, long limitTokens, double medianTokens) {
         checkArgument(expectedTokens >= 0, "expectedTokens must not be negative, but was %s", expectedTokens);
         checkArgument(limitTokens >= 0, "limitTokens must not be negative, but was %s", limitTokens);
+        checkArgument(medianTokens >= 0, "medianTokens must not be negative, but was %s", medianTokens);
         if (expectedTokens == 0 || limitTokens == 0) {
             return limitTokens;
         }
-        double median = limitTokens / LIMIT_TO_MEDIAN;
+        double median = medianTokens > 0 ? medianTokens : limitTokens / DEFAULT_LIMIT_TO_MEDIAN;
         double estimate = Math.pow(expectedTokens, ESTIMATE_WEIGHT) * Math.pow(median, 1 - ESTIMATE_WEIGHT);
         return Math.min(limitTokens, Math.round(estimate * MARGIN));
     }
--- a/src/test/java/io/chivehollow/coordination/forwarding/reserve/OutputEstimateTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/reserve/OutputEstimateTest.java
@@ -2,6 +2,7 @@
 
 import java.util.SplittableRandom;
 
+import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -31,13 +32,18 @@
     }
 
     private static ReservationStatistics simulate(ReservationRule rule) {
+        return simulate(rule, LIMIT_TOKENS, MEDIAN_TOKENS, OUTPUT_DEVIATION);
+    }
+
+    private static ReservationStatistics simulate(
+            ReservationRule rule, long limitTokens, double medianTokens, double deviation) {
         SplittableRandom random = new SplittableRandom(7);
         long overruns = 0;
         double sum = 0;
         for (int i = 0; i < REQUESTS; i++) {
-            double output = Math.min(LIMIT_TOKENS, MEDIAN_TOKENS * Math.exp(OUTPUT_DEVIATION * random.nextGaussian()));
+            double output = Math.min(limitTokens, medianTokens * Math.exp(deviation * random.nextGaussian()));
             long expected = Math.max(1, Math.round(output * Math.exp(ESTIMATE_DEVIATION * random.nextGaussian())));
-            long reserved = rule.tokens(expected, LIMIT_TOKENS);
+            long reserved = rule.tokens(expected, limitTokens);
             sum += reserved;
             overruns += output > reserved ? 1 : 0;
         }
@@ -47,21 +53,47 @@
     @Test
     public void weightedEstimateHasFewerOverrunsWithLessMemoryThanScaledEstimate() {
         ReservationStatistics scaled = simulate((expected, limit) -> Math.min(limit, expected * 160 / 100));
-        ReservationStatistics weighted = simulate(OutputEstimate::reservedTokens);
+        ReservationStatistics weighted =
+                simulate((expected, limit) -> OutputEstimate.reservedTokens(expected, limit, 0));
         assertTrue(weighted.overruns() <= ALLOWED_OVERRUNS, weighted + ", scaled estimate: " + scaled);
         assertTrue(scaled.overruns() > ALLOWED_OVERRUNS, scaled.toString());
         assertTrue(weighted.meanTokens() <= scaled.meanTokens(), weighted + ", scaled estimate: " + scaled);
     }
 
+    /**
+     * Guards against reservations for the outputs of one known service: a limit that is near the median makes more than
+     * one in eight runs exceed them, which lose their memory.
+     */
+    @Test
+    public void medianOfTheServiceReplacesTheShareOfTheLimit() {
+        EngineEstimates estimates = EngineEstimates.create();
+        ReservationStatistics assumed = simulate(
+                (expected, limit) -> {
+                    estimates.onExpectedOutput(expected);
+                    return OutputEstimate.reservedTokens(expected, limit, 0);
+                },
+                11_180,
+                5_700,
+                0.5);
+        assertEquals(estimates.medianOutputTokens(), 5_700, 1_100);
+        ReservationStatistics learnt = simulate(
+                (expected, limit) -> OutputEstimate.reservedTokens(expected, limit, estimates.medianOutputTokens()),
+                11_180,
+                5_700,
+                0.5);
+        assertTrue(assumed.overruns() > ALLOWED_OVERRUNS, assumed.toString());
+        assertTrue(learnt.overruns() <= ALLOWED_OVERRUNS, learnt.toString());
+    }
+
     @Test
     public void limitIsReservedWithoutEstimateAndNeverExceeded() {
-        assertEquals(OutputEstimate.reservedTokens(0, 500), 500);
-        assertEquals(OutputEstimate.reservedTokens(10_000, 500), 500);
-        assertEquals(OutputEstimate.reservedTokens(100, 0), 0);
+        assertEquals(OutputEstimate.reservedTokens(0, 500, 0), 500);
+        assertEquals(OutputEstimate.reservedTokens(10_000, 500, 0), 500);
+        assertEquals(OutputEstimate.reservedTokens(100, 0, 0), 0);
     }
 
     @Test(expectedExceptions = IllegalArgumentException.class)
     public void negativeEstimateIsRejected() {
-        OutputEstimate.reservedTokens(-1, 500);
+        OutputEstimate.reservedTokens(-1, 500, 0);
     }
 }
