Give up discarded bodies of resumed streams in time

Found in review: a refusal with a trickling body held up a stream that had begun until its deadline, because the limit of discarded bodies applied only before the first output. startedStreamIsNotHeldUpByATricklingRefusal took 3,004 ms before, the deadline. A route that states no pause between events uses a third of its target.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -39,6 +39,9 @@
     /** Covers the time from the grant of a reservation to the end of the prefill; servers may allow less. */
     private static final long MAX_RESERVATION_MS = 2_000;
 
+    /** The longest pause between events of a route that states none is its target time divided by this number. */
+    private static final int DEFAULT_GAP_TARGET_DIVISOR = 3;
+
     private static final double MS_PER_S = 1_000;
 
     /** Name of the team in logs and metrics for requests without one. */
@@ -191,7 +194,8 @@
         }
 
         PromptDemand promptDemand(ForwardRequest request) {
-            return new PromptDemand(service, request.fields().promptTokens(), route.getTargetMs(), route.getGapMs());
+            long gapMs = route.getGapMs() > 0 ? route.getGapMs() : route.getTargetMs() / DEFAULT_GAP_TARGET_DIVISOR;
+            return new PromptDemand(service, request.fields().promptTokens(), route.getTargetMs(), gapMs);
         }
 
         int priority() {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -164,7 +164,7 @@
             bodyTimer = services.loop()
                     .schedule(
                             () -> {
-                                if (!relay.hasStarted()) {
+                                if (isDiscarded || !relay.hasStarted()) {
                                     String reason = "the body was not complete " + timeMs + " ms after the head";
                                     openAttempt.fail(started, Failure.BROKEN_ANSWER, reason);
                                 }
