Bound the whole fetch of the list of backend servers in time

A list that trickles was read on without an end: the timeout ran anew with each byte, and no further read begins while one is in progress, so that new and leaving servers would not be noticed any more. A head that was cut off counted as a response with an arbitrary status.

--- a/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
@@ -10,6 +10,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -27,7 +28,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,8 +38,8 @@
 final class NettyHttpFetcher implements HttpFetcher {
 
     /**
-     * Timeout in milliseconds; the document is fetched about once a second, and a slow response must not overlap with
-     * the next fetch.
+     * Timeout of the whole fetch in milliseconds, however slowly bytes arrive; the document is fetched about once a
+     * second, and the next fetch begins when this one has ended.
      */
     private static final int TIMEOUT_MS = 900;
 
@@ -63,7 +63,6 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new ReadTimeoutHandler(TIMEOUT_MS, TimeUnit.MILLISECONDS))
                                 .addLast(new HttpClientCodec())
                                 .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                                 .addLast(new Handler(result));
@@ -80,7 +79,10 @@
             request.headers()
                     .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort())
                     .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            connecting.channel().writeAndFlush(request);
+            Channel channel = connecting.channel();
+            // The handler reports the close to the result.
+            channel.eventLoop().schedule(() -> channel.close(), TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            channel.writeAndFlush(request);
         });
         return result;
     }
@@ -100,7 +102,14 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            result.complete(new Document(response.status().code(), ByteBufUtil.getBytes(response.content())));
+            if (response.decoderResult().isFailure()) {
+                fail(
+                        result,
+                        "The response is not valid HTTP",
+                        response.decoderResult().cause());
+            } else {
+                result.complete(new Document(response.status().code(), ByteBufUtil.getBytes(response.content())));
+            }
             context.close();
         }
 
