--- a/src/test/java/io/chivehollow/coordination/budget/BudgetOptionsTest.java
+++ b/src/test/java/io/chivehollow/coordination/budget/BudgetOptionsTest.java
@@ -39,6 +39,19 @@
                 .build();
     }
 
+    /** Passes one report of the borrower to the lender, which commits a checkpoint first, and the loan back. */
+    private static void report(
+            BudgetBorrower borrower,
+            BudgetLender lender,
+            Function<TeamId, Optional<TeamBudget>> budgets,
+            SimulatedTime time) {
+        var report = borrower.nextReport();
+        lender.needsCheckpoint(report, budgets, PERIOD, time.nowNanos());
+        List<SavedBudget> checkpoint = lender.startCheckpoint(budgets, PERIOD, time.nowNanos());
+        lender.endCheckpoint(PERIOD, checkpoint, true);
+        borrower.onLoan(lender.borrow(report, budgets, PERIOD, time.nowNanos()).orElseThrow());
+    }
+
     /** Returns how many of 15 simultaneous requests are admitted. */
     private static long admittedSimultaneousRequests(BudgetOptions options) {
         SimulatedTime time = new SimulatedTime();
@@ -52,12 +65,7 @@
                 .mapToObj(i -> borrower.reserve(TEAM, REQUEST_TOKENS, 112))
                 .toList();
         for (int i = 0; i < requests.size(); i++) {
-            var report = borrower.nextReport();
-            lender.needsCheckpoint(report, budgets, PERIOD, time.nowNanos());
-            List<SavedBudget> checkpoint = lender.startCheckpoint(budgets, PERIOD, time.nowNanos());
-            lender.endCheckpoint(PERIOD, checkpoint, true);
-            borrower.onLoan(
-                    lender.borrow(report, budgets, PERIOD, time.nowNanos()).orElseThrow());
+            report(borrower, lender, budgets, time);
         }
         return requests.stream().filter(request -> request.isDone()).count();
     }
@@ -79,11 +87,6 @@
         assertEquals(BudgetOptions.defaults().budgetOf(team(0)).burstTokens(), RATE_TOKENS_PER_SECOND);
     }
 
-    private static BudgetBorrower borrower(Function<TeamId, Optional<TeamBudget>> budgets, SimulatedTime time) {
-        return BudgetBorrower.create(
-                InstanceId.of("g"), 1, BudgetOptions.forSmallBursts(tolerance()), budgets, time.clock(1, 0), () -> {});
-    }
-
     /** Plays 40 s of a team that asks for four times its rate; returns the tokens admitted in each 100 ms. */
     private static long[] admittedOverTheRate() {
         BudgetOptions options = BudgetOptions.forSmallBursts(tolerance());
@@ -91,7 +94,8 @@
         Function<TeamId, Optional<TeamBudget>> budgets = id -> Optional.of(options.budgetOf(team(0)));
         BudgetLender lender = BudgetLender.create(options);
         lender.start(PERIOD, List.of());
-        BudgetBorrower borrower = borrower(budgets, time);
+        BudgetBorrower borrower =
+                BudgetBorrower.create(InstanceId.of("g"), 1, options, budgets, time.clock(1, 0), () -> {});
         time.runUntilMs(TimeUnit.SECONDS.toMillis(10));
         long[] admitted = new long[400];
         for (int tenth = 0; tenth < admitted.length; tenth++) {
@@ -100,12 +104,7 @@
                     .mapToObj(i -> borrower.reserve(TEAM, REQUEST_TOKENS, 80))
                     .toList();
             for (int i = 0; i < 4; i++) {
-                var report = borrower.nextReport();
-                lender.needsCheckpoint(report, budgets, PERIOD, time.nowNanos());
-                List<SavedBudget> checkpoint = lender.startCheckpoint(budgets, PERIOD, time.nowNanos());
-                lender.endCheckpoint(PERIOD, checkpoint, true);
-                borrower.onLoan(
-                        lender.borrow(report, budgets, PERIOD, time.nowNanos()).orElseThrow());
+                report(borrower, lender, budgets, time);
             }
             admitted[tenth] = REQUEST_TOKENS
                     * requests.stream().filter(request -> request.isDone()).count();
--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendSelectorTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/BackendSelectorTest.java
@@ -79,10 +79,7 @@
         assertEquals(selectServer(Set.of()), "a");
     }
 
-    /** A cold server crashes if the request rate, which all processes share, is too high. */
-    @Test
-    public void coldServerGetsFewRequests() {
-        listServer("cold", Role.PLAIN, "in", false, 6_000);
+    private int sentToColdServerInFourSeconds() {
         int sent = 0;
         for (int i = 0; i < 400; i++) {
             if (!selectServer(Set.of()).equals("none")) {
@@ -91,6 +88,14 @@
             }
             nowNanos += 10 * MS;
         }
+        return sent;
+    }
+
+    /** A cold server crashes if the request rate, which all processes share, is too high. */
+    @Test
+    public void coldServerGetsFewRequests() {
+        listServer("cold", Role.PLAIN, "in", false, 6_000);
+        int sent = sentToColdServerInFourSeconds();
         assertTrue(8 * sent <= 4 * 6 + 8, sent + " requests of one of eight processes in 4 s");
         assertTrue(sent >= 2, sent + " requests");
         nowNanos += 3_000 * MS;
@@ -257,14 +262,7 @@
     public void coldRateFollowsTheDeployment() {
         selector = BackendSelector.create(table, new Random(1), () -> 8, service -> 40);
         listServer("cold", Role.PLAIN, "in", false, 6_000);
-        int sent = 0;
-        for (int i = 0; i < 400; i++) {
-            if (!selectServer(Set.of()).equals("none")) {
-                backend("cold").onStart(0, 0, nowNanos);
-                sent++;
-            }
-            nowNanos += 10 * MS;
-        }
+        int sent = sentToColdServerInFourSeconds();
         assertTrue(8 * sent <= 4 * 40 + 8, sent + " requests of one of eight processes in 4 s");
         assertTrue(8 * sent >= 4 * 24, sent + " requests of one of eight processes in 4 s");
     }
