Do not take a fetch that ran out of time for a complete document

The fetch fails before the connection is closed. NettyHttpFetcherTest has the case as a trickling body of no stated length, which failed before on a calm machine too.

--- a/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
@@ -80,8 +80,15 @@
                     .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort())
                     .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             Channel channel = connecting.channel();
-            // The handler reports the close to the result.
-            channel.eventLoop().schedule(() -> channel.close(), TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            channel.eventLoop()
+                    .schedule(
+                            () -> {
+                                // Before the close, which would end a body of no stated length as if it were complete.
+                                fail(result, "No complete response within " + TIMEOUT_MS + " ms", null);
+                                channel.close();
+                            },
+                            TIMEOUT_MS,
+                            TimeUnit.MILLISECONDS);
             channel.writeAndFlush(request);
         });
         return result;
--- a/src/test/java/io/chivehollow/coordination/forwarding/NettyHttpFetcherTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/NettyHttpFetcherTest.java
@@ -75,6 +75,7 @@
             {"trickling head", "HTTP/1.1 200 OK\r\nX-Field: ", "x", 100L},
             {"trickling body", "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", "x", 100L},
             {"body without an end", "HTTP/1.1 200 OK\r\n\r\n", "x".repeat(4_096), 0L},
+            {"trickling body of no stated length", "HTTP/1.1 200 OK\r\n\r\n", "x", 100L},
             {"head without an end", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n".repeat(100), 0L},
         };
     }
