Do not let a burst lower the learnt prefill speed

The speed was the fastest of the last 32 prompts of a process.

Change: the fastest of 256 prompts, and the start value counts until there are 64, more than a process sends in a burst. EngineEstimatesTest.burstDoesNotLowerTheSpeed failed before.

--- a/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
@@ -22,15 +22,18 @@
     private static final double START_RUN_MS = 2_500;
 
     /**
-     * Number of recent prompts of which the fastest shows the speed of an idle server; most prompts of a burst wait
-     * behind others.
+     * Number of recent prompts of which the fastest shows the speed of an idle server. More than a process sends in a
+     * burst: all prompts of a burst may wait behind others, and a speed that seems low makes a process refuse prompts.
      */
-    private static final int SPEED_SAMPLES = 32;
+    private static final int SPEED_SAMPLES = 256;
+
+    /** Prompts after which the start value of the speed no longer counts; more than a process sends in a burst. */
+    private static final int MIN_SPEED_SAMPLES = 64;
 
     /** Weight of a new sample in the means. */
     private static final double MEAN_WEIGHT = 0.1;
 
-    /** Prompts or runs after which the samples describe the service; the first ones may all have waited. */
+    /** Prompts, runs or estimates after which their means describe the service. */
     private static final int MIN_SAMPLES = 8;
 
     private static final double MAX_PREFILL_TOKENS_PER_MS = 100_000;
@@ -68,7 +71,7 @@
         }
         speeds[speedCount++ % SPEED_SAMPLES] = Math.min(tokens / durationMs, MAX_PREFILL_TOKENS_PER_MS);
         double fastest = Arrays.stream(speeds).max().orElseThrow();
-        prefillTokensPerMs = speedCount < MIN_SAMPLES ? Math.max(fastest, START_PREFILL_TOKENS_PER_MS) : fastest;
+        prefillTokensPerMs = speedCount < MIN_SPEED_SAMPLES ? Math.max(fastest, START_PREFILL_TOKENS_PER_MS) : fastest;
         meanPromptTokens = mean(meanPromptTokens, tokens, promptCount++);
     }
 
