Keep two prefill servers in small pools

Change: from six servers on two keep the prefill role. RolePlannerTest.smallPoolKeepsTwoPrefillServersWhateverTheRatio failed before.

--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/RolePlanner.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/RolePlanner.java
@@ -35,6 +35,9 @@
     /** Smallest ratio; fewer decode servers than this are never wanted. */
     private static final double MIN_DECODE_PER_PREFILL = 1;
 
+    /** Number of servers from which two have the prefill role; a single one cannot absorb a burst or its own loss. */
+    private static final int MIN_SERVERS_FOR_TWO = 6;
+
     /** Largest share of a service's servers that change their roles at the same time; they serve nothing meanwhile. */
     private static final double MAX_CHANGING_SHARE = 1.0 / 8;
 
@@ -87,7 +90,8 @@
         double ratio = shownRatio <= 0
                 ? DEFAULT_DECODE_PER_PREFILL
                 : Math.min(MAX_DECODE_PER_PREFILL, Math.max(MIN_DECODE_PER_PREFILL, shownRatio * RATIO_SHARE));
-        return Math.max(1, (long) (serverCount / (ratio + 1)));
+        long smallest = serverCount < MIN_SERVERS_FOR_TWO ? 1 : 2;
+        return Math.max(smallest, (long) (serverCount / (ratio + 1)));
     }
 
     /** Returns a server of the failure domain with the most servers, so that no domain loses its last one early. */
--- a/src/test/java/io/chivehollow/coordination/forwarding/RolePlannerTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/RolePlannerTest.java
@@ -69,6 +69,14 @@
         assertEquals(finalPrefillServers(servers(0, 6), UNKNOWN), 0);
     }
 
+    /** One of six prefill servers was left, and the prompts of a burst waited for it. */
+    @Test
+    public void smallPoolKeepsTwoPrefillServersWhateverTheRatio() {
+        assertEquals(finalPrefillServers(servers(3, 3), 4), 2);
+        assertEquals(finalPrefillServers(servers(3, 5), 9), 2);
+        assertEquals(finalPrefillServers(servers(3, 2), 4), 1);
+    }
+
     @Test
     public void drainingAndPlainServersAreNotChanged() {
         List<BackendEntry> entries = List.of(
