Lend budgets as before on the users' platform

Failed trial: returning a team's burst in every window, the tenth of the limit and three quarters of the tolerance.

Change: lent share 0.5 and offline share 0.4 as before; the settings of the platform state neither share nor window. The bucket that returns the burst in each window stays behind these settings, with its tests.

--- a/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
+++ b/src/main/java/io/chivehollow/coordination/budget/OfflineAllowance.java
@@ -22,11 +22,8 @@
     /** Time without use after which a response restores the allowance; exceeds the tolerance window of 8 s. */
     private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /**
-     * Fraction of the tolerance that is used; most of it is lent. The share of one process covers some small requests;
-     * a prompt would need the shares of several processes, however large the fraction.
-     */
-    private static final double USED_SHARE = 0.15;
+    /** Fraction of the tolerance that is used; half is lent, the rest is for requests that arrive late. */
+    private static final double USED_SHARE = 0.4;
 
     /** Minimum, because a new leader reports few borrowers at first; small installations have 6 to 8 processes. */
     private static final int MIN_BORROWERS = 8;
--- a/src/main/java/io/chivehollow/coordination/budget/Tolerance.java
+++ b/src/main/java/io/chivehollow/coordination/budget/Tolerance.java
@@ -17,7 +17,7 @@
     private static final Tolerance NONE = new Tolerance(0, 0, 0);
 
     /** Fraction of the tokens that is lent; the rest is for {@link OfflineAllowance} and a margin. */
-    private static final double LENT_SHARE = 0.75;
+    private static final double LENT_SHARE = 0.5;
 
     /** Fraction of the tokens that is lent evenly over the window, if the platform states one. */
     private static final double RATE_SHARE = 0.25;
