Do not let cached prompts raise the learnt prefill speed

The fastest of the last prompts then stood for the speed, so that waits seemed a tenth as long and long prompts short enough for decode servers.

Change: nine tenths of the prompts are slower than the estimate, and only the start value counts until there are 64. EngineEstimatesTest.cachedPromptsDoNotRaiseTheSpeed failed before (1,040 tokens/ms).

--- a/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
@@ -22,11 +22,14 @@
     private static final double START_RUN_MS = 2_500;
 
     /**
-     * Number of recent prompts of which the fastest shows the speed of an idle server. More than a process sends in a
+     * Number of recent prompts of which the fast ones show the speed of an idle server. More than a process sends in a
      * burst: all prompts of a burst may wait behind others, and a speed that seems low makes a process refuse prompts.
      */
     private static final int SPEED_SAMPLES = 256;
 
+    /** Share of the prompts that are slower than an idle server's; the fastest ones were found in its cache. */
+    private static final double FAST_SHARE = 0.9;
+
     /** Prompts after which the start value of the speed no longer counts; more than a process sends in a burst. */
     private static final int MIN_SPEED_SAMPLES = 64;
 
@@ -70,8 +73,7 @@
             return;
         }
         speeds[speedCount++ % SPEED_SAMPLES] = Math.min(tokens / durationMs, MAX_PREFILL_TOKENS_PER_MS);
-        double fastest = Arrays.stream(speeds).max().orElseThrow();
-        prefillTokensPerMs = speedCount < MIN_SPEED_SAMPLES ? Math.max(fastest, START_PREFILL_TOKENS_PER_MS) : fastest;
+        prefillTokensPerMs = speedCount < MIN_SPEED_SAMPLES ? START_PREFILL_TOKENS_PER_MS : fastSpeed();
         meanPromptTokens = mean(meanPromptTokens, tokens, promptCount++);
     }
 
@@ -115,6 +117,12 @@
         meanRunMs = mean(meanRunMs, durationMs, runCount++);
     }
 
+    private double fastSpeed() {
+        double[] sorted = Arrays.copyOf(speeds, Math.min(speedCount, SPEED_SAMPLES));
+        Arrays.sort(sorted);
+        return sorted[(int) (sorted.length * FAST_SHARE)];
+    }
+
     /** The first samples count more, so that the start value is soon forgotten. */
     private static double mean(double current, double sample, int count) {
         double weight = Math.max(MEAN_WEIGHT, 1.0 / (count + 1));
--- a/src/test/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimatesTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimatesTest.java
@@ -95,6 +95,16 @@
         assertEquals(estimates.prefillTokensPerMs(), 55, 0.01);
     }
 
+    /** Guards against waits that seem short because a repeated prompt was found in the server's cache. */
+    @Test
+    public void cachedPromptsDoNotRaiseTheSpeed() {
+        EngineEstimates estimates = EngineEstimates.create();
+        for (int i = 0; i < 100; i++) {
+            estimates.onPrefill(PROMPT_TOKENS, i % 20 == 0 ? 5 : PROMPT_TOKENS / 55.0);
+        }
+        assertEquals(estimates.prefillTokensPerMs(), 55, 0.01);
+    }
+
     @Test(expectedExceptions = IllegalArgumentException.class)
     public void negativeDurationIsRefused() {
         EngineEstimates.create().onPrefill(1, -1);
