Log how responses and callers mark the end of a response

The line of a request could not tell the three hypotheses apart. It now has a step for each head after the first one, says which responses end with their connection, with which event a stream ended, and which callers cannot take chunks.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -97,7 +97,7 @@
             isInterim = status >= CONTINUE && status < FIRST_FINAL;
             if (!isInterim) {
                 hasHead = true;
-                isKeepAlive = HttpUtil.isKeepAlive(head) && isFramed(head);
+                isKeepAlive = HttpUtil.isKeepAlive(head) && ResponseFraming.isStated(head);
                 current.listener.onHead(head);
             }
         }
@@ -143,11 +143,6 @@
         }
     }
 
-    /** Returns whether the end of the response is marked by its framing and not by the end of the connection. */
-    private static boolean isFramed(HttpResponse head) {
-        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         complete();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardRequest.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardRequest.java
@@ -16,6 +16,8 @@
  * @param headers header fields as sent by the caller, without the fields that concern only the connection
  * @param body the complete body
  * @param fields values parsed from the header
+ * @param canTakeChunks whether the protocol version of the caller has chunked bodies; if not, the end of the connection
+ *     marks the end of a response of no stated length
  * @param arrivalNanos monotonic time in nanoseconds at which the first byte of the request was read
  */
 public record ForwardRequest(
@@ -26,4 +28,5 @@
         HttpHeaders headers,
         byte[] body,
         CallerFields fields,
+        boolean canTakeChunks,
         long arrivalNanos) {}
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
@@ -21,6 +21,7 @@
     private final ForwardRequest request;
     private final LongSupplier nanoTime;
     private final StringBuilder steps = new StringBuilder();
+    private boolean hasHead;
     private boolean hasOutput;
     private long lastOutputNanos;
     private long longestPauseNanos;
@@ -36,6 +37,17 @@
                 + admitted.service() + " team " + admitted.teamName() + " tokens "
                 + request.fields().promptTokens() + "+" + request.fields().maxOutputTokens() + " expected "
                 + request.fields().expectedOutputTokens());
+        if (!request.canTakeChunks()) {
+            addStep("caller without chunks");
+        }
+    }
+
+    /** Records the head of a response if its framing does not mark its end, or if it is not the first one. */
+    void onHead(int status, boolean isFramingStated) {
+        if (!isFramingStated || hasHead) {
+            addTimedStep("head " + status + (isFramingStated ? "" : ", ends with its connection"));
+        }
+        hasHead = true;
     }
 
     void onSend(String backend, boolean isPrefill) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -1,10 +1,12 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendListener;
+import io.chivehollow.coordination.forwarding.backend.ResponseFraming;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -122,6 +124,7 @@
         public void onHead(HttpResponse head) {
             status = head.status().code();
             fields = openAttempt.readHead(started, head);
+            trace.onHead(status, ResponseFraming.isStated(head));
             String rejectionReason = ResponseChecks.rejectionReason(request, status, fields);
             if (rejectionReason != null) {
                 openAttempt.cancel();
@@ -215,7 +218,9 @@
                 started.backend.onSuccess();
                 started.backend.estimates().onRun(started.memoryTokens, openMs());
                 history.onComplete();
-                trace.addTimedStep("status " + status);
+                OptionalLong lastEventId = relay.lastEventId();
+                trace.addTimedStep(
+                        "status " + status + (lastEventId.isEmpty() ? "" : ", last event " + lastEventId.getAsLong()));
                 relay.end();
                 listener.onComplete(status);
             }
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
@@ -185,6 +185,7 @@
                 ConnectionFields.without(headers),
                 bytes,
                 services.dialect().readRequest(headers),
+                canSendChunks,
                 firstByteNanos);
         String stated = forwarded.fields().requestId();
         requestId = stated == null ? "" : stated;
