Do not take the crash of a server for the end of a response of no stated length

What callers saw: a stream with its last chunk, or a 200 with a whole-looking body, although the server had crashed in the middle.

Cause: a response with neither a length nor chunks was complete when its connection ended in order. A process that crashes ends its connections in order too. Class of fault: the absence of an error was taken for the end.

Change: such a response is complete only if the server still accepts a connection when the old one has ended; the new one is kept for the next request, which would have opened it. A server that is listed as draining may end after its last response; its orderly end stays the end of the response.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -83,6 +83,24 @@
         }
     }
 
+    /**
+     * Completes a response whose end is marked only by the end of its connection, if the backend server can still be
+     * reached. The connections of a server that crashes end in the same way, but it accepts no new ones.
+     */
+    void completeAtConnectionEnd() {
+        if (isEnded) {
+            return;
+        }
+        connections.checkReachable(backend, isReachable -> {
+            // The connections of a server that shuts down as announced end after its last response.
+            if (isReachable || backend.entry().isDraining()) {
+                complete(false);
+            } else {
+                fail(Failure.BROKEN_ANSWER, "the connection ended, and the server cannot be reached");
+            }
+        });
+    }
+
     void complete(boolean isReusable) {
         if (isEnded) {
             return;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -1,6 +1,7 @@
 package io.chivehollow.coordination.forwarding.backend;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import io.chivehollow.coordination.forwarding.backend.Backend.IdleConnection;
@@ -112,6 +113,17 @@
         return call;
     }
 
+    /** Tells whether the server accepts a connection now; the connection is kept for later requests. */
+    void checkReachable(Backend backend, Consumer<Boolean> receiver) {
+        ChannelFuture connecting = bootstrap.connect(backend.entry().address());
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                returnIdle(backend, connecting.channel(), -1);
+            }
+            receiver.accept(done.isSuccess());
+        });
+    }
+
     private @Nullable Channel takeIdle(Backend backend) {
         long now = nanoTime.getAsLong();
         for (IdleConnection next = backend.idleConnections.pollFirst();
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -38,6 +38,7 @@
     private long bodyBytes;
     private boolean hasHead;
     private boolean isInterim;
+    private boolean isEndStated;
     private boolean isKeepAlive;
     private @Nullable Throwable error;
 
@@ -97,7 +98,8 @@
             isInterim = status >= CONTINUE && status < FIRST_FINAL;
             if (!isInterim) {
                 hasHead = true;
-                isKeepAlive = HttpUtil.isKeepAlive(head) && ResponseFraming.isStated(head);
+                isEndStated = ResponseFraming.isStated(head);
+                isKeepAlive = HttpUtil.isKeepAlive(head) && isEndStated;
                 current.listener.onHead(head);
             }
         }
@@ -138,8 +140,13 @@
     private void complete() {
         BackendCall ended = completed;
         completed = null;
-        if (ended != null) {
+        if (ended == null) {
+            return;
+        }
+        if (isEndStated) {
             ended.complete(isKeepAlive);
+        } else {
+            ended.completeAtConnectionEnd();
         }
     }
 
