Do not take an empty stream of no stated length for a complete one

What callers saw: 200 with the last chunk and no event, or, after a resume, the events of the first server and then the last chunk.

Cause: a stream was complete if no event was incomplete. A server that breaks off before its first event leaves none incomplete. With a stated length or with chunks the framing says that the stream is whole; without them nothing does. Class of fault: the absence of an error was taken for the end.

Change: where only the end of the connection marks the end, the current run must have sent an event. A framed run without events may still end a resumed stream.

A crash or a reset after the head was ruled out by the probe of the timeline: the reset was already an error.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/BufferedRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/BufferedRelay.java
@@ -65,7 +65,7 @@
     }
 
     @Override
-    public boolean isComplete() {
+    public boolean isComplete(boolean isEndStated) {
         return true;
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/NoResponse.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/NoResponse.java
@@ -19,7 +19,7 @@
     }
 
     @Override
-    public boolean isComplete() {
+    public boolean isComplete(boolean isEndStated) {
         return false;
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
@@ -20,8 +20,13 @@
      */
     boolean data(ByteBuf data);
 
-    /** Returns whether the response may end here, that is, whether no event is incomplete. */
-    boolean isComplete();
+    /**
+     * Returns whether the response may end here, that is, whether no event is incomplete.
+     *
+     * @param isEndStated whether a length or chunks mark the end; if only the end of the connection does, a stream also
+     *     needs an event of the current run
+     */
+    boolean isComplete(boolean isEndStated);
 
     /** Ends the response, which is complete. */
     void end();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -110,6 +110,7 @@
         private final long startNanos = services.nanoTime().getAsLong();
         private boolean isDiscarded;
         private boolean isNotRun;
+        private boolean isEndStated;
         private @Nullable ResponseFields fields;
         private @Nullable ScheduledFuture<?> bodyTimer;
         private long discardedBytes;
@@ -124,7 +125,8 @@
         public void onHead(HttpResponse head) {
             status = head.status().code();
             fields = openAttempt.readHead(started, head);
-            trace.onHead(status, ResponseFraming.isStated(head));
+            isEndStated = ResponseFraming.isStated(head);
+            trace.onHead(status, isEndStated);
             String rejectionReason = ResponseChecks.rejectionReason(request, status, fields);
             if (rejectionReason != null) {
                 openAttempt.cancel();
@@ -212,8 +214,8 @@
             openAttempt.end(started);
             if (isDiscarded) {
                 onDiscardedEnd();
-            } else if (!relay.isComplete()) {
-                interrupted(Failure.BROKEN_ANSWER, "the stream ended within an event");
+            } else if (!relay.isComplete(isEndStated)) {
+                interrupted(Failure.BROKEN_ANSWER, "the stream ended within an event or before its first one");
             } else {
                 started.backend.onSuccess();
                 started.backend.estimates().onRun(started.memoryTokens, openMs());
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
@@ -21,6 +21,7 @@
     private final Runnable onFirstByte;
     private final EventSplitter events = new EventSplitter();
     private boolean hasStarted;
+    private boolean hasEventOfRun;
 
     StreamRelay(boolean isResumable, int status, HttpHeaders headers, CallerSink sink, Runnable onFirstByte) {
         this.isResumable = isResumable;
@@ -34,6 +35,7 @@
     public boolean data(ByteBuf data) {
         ByteBuf completeEvents = events.add(data);
         if (completeEvents.isReadable()) {
+            hasEventOfRun = true;
             start();
             sink.data(completeEvents);
         }
@@ -52,8 +54,8 @@
     }
 
     @Override
-    public boolean isComplete() {
-        return !events.hasPartial();
+    public boolean isComplete(boolean isEndStated) {
+        return !events.hasPartial() && (isEndStated || hasEventOfRun);
     }
 
     @Override
@@ -65,6 +67,7 @@
     @Override
     public void onInterrupted() {
         events.discardPartial();
+        hasEventOfRun = false;
     }
 
     @Override
