Do not pass the error of a resuming server on as the rest of the stream

What callers saw: the error's text between the events of a stream, or a last chunk after the events of the first server only.

Cause: once a stream had begun, the body of every further response went into it, whatever its status. An empty error body then ended the stream as complete. Class of fault: the answer of one run was taken for that of another.

Change: after the first byte only a 200 continues a stream. Another status counts as an interrupted run: the stream goes to a further server if the route allows one, or its connection is closed without an end. 'Not run' stays what it was, since nothing of it is passed on.

Evidence: errorOfTheResumingServerIsNotPartOfTheStream (500 with and without a text, 404, 206) failed in all four cases before and passes now.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
@@ -35,12 +35,19 @@
         return fields;
     }
 
-    /** Returns why the response must not be passed on to the caller, or null if it may be. */
-    static @Nullable String rejectionReason(ForwardRequest request, int status, ResponseFields fields) {
+    /**
+     * Returns why the response must not be passed on to the caller, or null if it may be. The relay holds what earlier
+     * runs have sent to the caller; only a stream can continue that.
+     */
+    static @Nullable String rejectionReason(
+            ForwardRequest request, int status, ResponseFields fields, ResponseRelay relay) {
         if (fields.requestId() != null
                 && !fields.requestId().equals(request.fields().requestId())) {
             return "the response belongs to request " + fields.requestId();
         }
+        if (relay.hasStarted() && status != OK && !fields.isNotRun()) {
+            return "status " + status + " in place of the rest of the stream";
+        }
         boolean isSuccess = status >= OK && status < REDIRECTION;
         return isSuccess && !fields.isSigned()
                 ? "a success response without the signature of the backend server"
