Reset the connection of a caller without chunks if its response is interrupted

What callers of HTTP/1.0 saw: every interrupted stream ended like a complete one.

Cause: they take no chunks, so that a response of no stated length ends with the connection, and this process closed it in the same way after an interruption as after the last event; so does the system at the end of a killed process. Class of fault: a sign that stands for both outcomes.

Change: from the head on, such a connection ends with a reset (linger time 0). Only after the last byte was written is the linger time switched off and the connection closed in order.

Evidence: interruptedStreamIsResetForCallersWithoutChunks and endOfTheProcessResetsStreamsOfCallersWithoutChunks failed before (orderly end) and pass now; completeStreamEndsInOrderForCallersWithoutChunks passed before and after.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
@@ -14,9 +14,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -52,6 +52,8 @@
      */
     private static final int MAX_PENDING_PARTS = 256;
 
+    private static final int SO_LINGER_OFF = -1;
+
     private static final Logger LOG = Logger.getLogger(IngressConnection.class);
 
     private final Ingress ingress;
@@ -204,6 +206,7 @@
                 HttpUtil.setTransferEncodingChunked(response, true);
             } else {
                 isKeepAlive = false;
+                setResetAtClose(true);
             }
         }
         setConnection(response);
@@ -258,6 +261,17 @@
         finish(response);
     }
 
+    /**
+     * Sets whether the connection ends with a reset, also if this process is killed.
+     *
+     * <p>An orderly end would complete a response that has neither a length nor chunks.
+     */
+    private void setResetAtClose(boolean isReset) {
+        if (context != null) {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, isReset ? 0 : SO_LINGER_OFF);
+        }
+    }
+
     /** Refuses a request that was not received completely; the connection cannot be reused after that. */
     private void refuseIncomplete(ErrorCode code, String message) {
         isKeepAlive = false;
@@ -303,7 +317,12 @@
         } else {
             isUnusable = true;
             isBusy = false;
-            open.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+            open.writeAndFlush(last).addListener(written -> {
+                if (written.isSuccess()) {
+                    setResetAtClose(false);
+                }
+                open.close();
+            });
         }
     }
 
