--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/CallerFields.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/CallerFields.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 
+import com.google.common.collect.ImmutableList;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,6 +17,8 @@
  * @param maxOutputTokens maximum number of output tokens, 0 if not stated
  * @param expectedOutputTokens the caller's estimate of the output in tokens, 0 if not stated
  * @param hasTokenCounts whether the request states its token counts
+ * @param promptParts ids of the parts of the prompt in their order; the last one belongs to this prompt alone, and the
+ *     others are shared with other prompts; empty if not stated
  * @param lastEventId id of the last event that the caller has received if it resumes a stream, otherwise empty
  */
 public record CallerFields(
@@ -26,6 +29,7 @@
         long maxOutputTokens,
         long expectedOutputTokens,
         boolean hasTokenCounts,
+        ImmutableList<String> promptParts,
         OptionalLong lastEventId) {
 
     /** Omits the API key, which must not be logged. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
@@ -37,6 +37,9 @@
                 + admitted.service() + " team " + admitted.teamName() + " tokens "
                 + request.fields().promptTokens() + "+" + request.fields().maxOutputTokens() + " expected "
                 + request.fields().expectedOutputTokens());
+        if (!request.fields().promptParts().isEmpty()) {
+            addStep("parts " + String.join(",", request.fields().promptParts()));
+        }
         if (!request.canTakeChunks()) {
             addStep("caller without chunks");
         }
