Refuse prompts with parts that have crashed backend servers

Cause: a crash was held against the server only. Nothing related it to the prompt whose answer the server had begun, and no process told another. Class of fault: a failure with its cause in the request is handled as one of the server, and the retry spreads it.

Change: a server that ends after the head of an answer and before its first event, and that accepts no connection then, is recorded with the parts that the prompt shares with others (CrashLedger). A part is suspect until an answer with it has begun. What the crashes of three servers have in common is a CrashSignature; prompts with all of its parts are refused before their prefill, as not run, and one is let through after 30 s, later ever more rarely. The request that lost its server in this way goes to no second one. All processes have the same crashes within about a second through the leader (CrashReporter); it is soft state, which a new leader gets from the processes.

Why this works: prompts that share the first part or the caller with the cause do not have all parts of the signature, and their answers clear what they have.

Ruled out: that the crashes are unrelated (all had the same part in their log lines); that bystanders are the cause (their second runs ended only where a further prompt with that part had been sent).

--- a/src/main/java/io/chivehollow/base/ErrorCode.java
+++ b/src/main/java/io/chivehollow/base/ErrorCode.java
@@ -58,6 +58,9 @@
     /** The backend server is cold, for instance after a start, and accepts fewer requests for now. */
     COLD(503),
 
+    /** Backend servers have crashed when they began the answers to prompts with the same parts. */
+    PROMPT_BLOCKED(503),
+
     /** The instance has no configuration, or cannot prove that its configuration is current. */
     CONFIGURATION_STALE(503),
 
--- /dev/null
+++ b/src/main/java/io/chivehollow/coordination/crash/CrashSignature.java
@@ -0,0 +1,86 @@
+package io.chivehollow.coordination.crash;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+
+/**
+ * Prompt parts that together explain several crashes; a prompt that has all of them is likely to crash its server.
+ *
+ * <p>Invariant: there is at least one part. Immutable and thread-safe.
+ *
+ * @param parts the parts that all crashed prompts have in common
+ * @param crashes the explained crashes
+ */
+record CrashSignature(ImmutableSet<String> parts, ImmutableList<ServerCrash> crashes) {
+
+    /** Crashed servers from which on a common part is no coincidence. */
+    static final int MIN_SERVERS = 3;
+
+    /**
+     * Finds the signatures of the crashes, each of which belongs to one signature at most.
+     *
+     * <p>The part of the crashes of most servers comes first; of parts with equally many servers, the one of fewer
+     * prompts, which others have only beside it.
+     */
+    static ImmutableList<CrashSignature> of(Collection<ServerCrash> crashes) {
+        ImmutableList.Builder<CrashSignature> signatures = ImmutableList.builder();
+        List<ServerCrash> unexplained = new ArrayList<>(crashes);
+        for (Optional<CrashSignature> next = strongest(unexplained); next.isPresent(); next = strongest(unexplained)) {
+            signatures.add(next.get());
+            unexplained.removeAll(next.get().crashes());
+        }
+        return signatures.build();
+    }
+
+    private static Optional<CrashSignature> strongest(List<ServerCrash> crashes) {
+        Map<String, List<ServerCrash>> byPart = new HashMap<>();
+        crashes.forEach(
+                crash -> crash.suspectParts().forEach(part -> byPart.computeIfAbsent(part, id -> new ArrayList<>())
+                        .add(crash)));
+        List<ServerCrash> best = List.of();
+        for (List<ServerCrash> candidate : byPart.values()) {
+            int difference = servers(candidate) - servers(best);
+            if (difference > 0 || difference == 0 && candidate.size() < best.size()) {
+                best = candidate;
+            }
+        }
+        if (servers(best) < MIN_SERVERS) {
+            return Optional.empty();
+        }
+        Set<String> common = new HashSet<>(best.get(0).suspectParts());
+        best.forEach(crash -> common.retainAll(crash.suspectParts()));
+        return Optional.of(new CrashSignature(ImmutableSet.copyOf(common), ImmutableList.copyOf(best)));
+    }
+
+    private static int servers(List<ServerCrash> crashes) {
+        return (int) crashes.stream()
+                .map(crash -> crash.key().backendServer())
+                .distinct()
+                .count();
+    }
+
+    int servers() {
+        return servers(crashes);
+    }
+
+    boolean matches(Collection<String> promptParts) {
+        return promptParts.containsAll(parts);
+    }
+
+    ServerCrash newest() {
+        ServerCrash newest = crashes.get(0);
+        for (ServerCrash crash : crashes) {
+            newest = crash.timeNanos() - newest.timeNanos() > 0 ? crash : newest;
+        }
+        return newest;
+    }
+}
--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingContext.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingContext.java
@@ -8,6 +8,7 @@
 import io.chivehollow.base.InstanceId;
 import io.chivehollow.base.Scheduler;
 import io.chivehollow.coordination.config.ConfigView;
+import io.chivehollow.coordination.crash.CrashLedger;
 import io.chivehollow.coordination.gateway.TokenBudget;
 import io.chivehollow.coordination.replica.ControlClient;
 import io.netty.channel.EventLoopGroup;
@@ -23,6 +24,7 @@
  * @param config copy of the released state
  * @param control client of the replicas
  * @param budget token budgets of the teams
+ * @param crashes crashes of backend servers, shared with the other processes
  * @param eventLoops event loops of the process
  * @param scheduler runs timers
  * @param random selects services and backend servers
@@ -35,6 +37,7 @@
         ConfigView config,
         ControlClient control,
         TokenBudget budget,
+        CrashLedger crashes,
         EventLoopGroup eventLoops,
         Scheduler scheduler,
         RandomGenerator random,
--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -80,7 +80,8 @@
                 connections,
                 new SharedLimits(
                         new RetryLimits(settings.retryShare(), settings.retrySlack(), settings.retryWindowSeconds()),
-                        context.processCount()),
+                        context.processCount(),
+                        context.crashes()),
                 ForwardMetrics.create(context.registry()));
         RoleChangeSender.start(
                 context.instance(),
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -114,7 +114,7 @@
     }
 
     /** Tells whether the server accepts a connection now; the connection is kept for later requests. */
-    void checkReachable(Backend backend, Consumer<Boolean> receiver) {
+    public void checkReachable(Backend backend, Consumer<Boolean> receiver) {
         ChannelFuture connecting = bootstrap.connect(backend.entry().address());
         connecting.addListener(done -> {
             if (done.isSuccess()) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -1,5 +1,6 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +42,9 @@
      */
     private static final long MEMORY_RETRY_SPREAD_MS = 1_500;
 
+    /** Retry time for prompts that may be tried again after the first pause of the crash ledger. */
+    private static final long BLOCKED_RETRY_MS = 30_000;
+
     private static final long MS_TO_NANOS = 1_000_000;
 
     private final ForwardServices services;
@@ -56,6 +60,7 @@
     private Admission.@Nullable AdmittedRequest admitted;
     private @Nullable ScheduledFuture<?> timeout;
     private long endNanos;
+    private boolean isTrial;
     private boolean isEnded;
 
     private ForwardFlow(ForwardServices services, ForwardRequest request, CallerSink sink, Runnable onEnded) {
@@ -101,6 +106,10 @@
         }
         timeout = services.loop().schedule(this::onTimeout, remainingMs, TimeUnit.MILLISECONDS);
         services.retryBudget().onRequest(accepted.service());
+        if (isBlocked()) {
+            refuseBlocked();
+            return;
+        }
         Optional<TeamId> team = accepted.limitedTeam();
         if (team.isEmpty()) {
             proceed();
@@ -113,6 +122,10 @@
         if (isEnded) {
             return;
         }
+        if (isBlocked()) {
+            refuseBlocked();
+            return;
+        }
         Admission.AdmittedRequest accepted = admitted();
         MemoryReservation reserved = memory.reservation();
         if (reserved != null) {
@@ -124,6 +137,24 @@
         }
     }
 
+    /** Returns whether the prompt is likely to crash its server; the answer stays the same once a trial has started. */
+    private boolean isBlocked() {
+        List<String> parts = request.fields().promptParts();
+        if (isTrial || !services.crashes().isBlocked(parts)) {
+            return false;
+        }
+        isTrial = services.crashes().startTrial(parts);
+        return !isTrial;
+    }
+
+    private void refuseBlocked() {
+        String message = "Backend servers crashed when they began to answer prompts with the same parts";
+        refuse(
+                run.isRunPossible()
+                        ? Refusal.mayHaveRun(ErrorCode.BACKEND_FAILED, message)
+                        : Refusal.retryAfter(ErrorCode.PROMPT_BLOCKED, message, BLOCKED_RETRY_MS));
+    }
+
     private void runAtLeastLoadedServer(Admission.AdmittedRequest accepted) {
         Optional<Backend> server = services.selector()
                 .selectServer(
@@ -341,6 +372,9 @@
 
         @Override
         public void onInterrupted() {
+            if (isEnded) {
+                return;
+            }
             prefill.forget();
             if (hasTimeLeft() && run.history().mayRepeat(admitted().route(), run.relay())) {
                 services.metrics().onRetry("broken");
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
@@ -33,6 +33,10 @@
         registry.timer(PREFIX + "first_byte." + team).update(nanos, TimeUnit.NANOSECONDS);
     }
 
+    void onServerCrash() {
+        registry.counter(PREFIX + "server_crashes").inc();
+    }
+
     void onRetry(String reason) {
         registry.counter(PREFIX + "repeats." + reason).inc();
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 
+import io.chivehollow.coordination.crash.CrashLedger;
 import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.chivehollow.coordination.forwarding.backend.BackendConnections;
 import io.chivehollow.coordination.forwarding.backend.BackendSelector;
@@ -12,7 +13,7 @@
 /**
  * The components that all forwarded requests share.
  *
- * <p>The components are used on the event loop only, apart from the budget, which is thread-safe.
+ * <p>The components are used on the event loop only, apart from the budget and the crashes, which are thread-safe.
  *
  * @param loop event loop of the forwarding role
  * @param nanoTime monotonic clock in nanoseconds
@@ -24,6 +25,7 @@
  * @param memoryQueue requests that wait for memory of language models
  * @param retryBudget limits retries
  * @param retrySchedule retry times of callers whose team exceeds its rate
+ * @param crashes crashes of backend servers, and the prompts that are refused because of them
  * @param metrics records outcomes
  */
 public record ForwardServices(
@@ -37,6 +39,7 @@
         MemoryQueue memoryQueue,
         RetryBudget retryBudget,
         RetrySchedule retrySchedule,
+        CrashLedger crashes,
         ForwardMetrics metrics) {
 
     /** Returns services with a full retry budget. */
@@ -61,6 +64,7 @@
                 MemoryQueue.create(loop, nanoTime, dialect, selector, connections),
                 new RetryBudget(limits.retries(), nanoTime, limits.processCount()),
                 new RetrySchedule(nanoTime, limits.processCount()),
+                limits.crashes(),
                 metrics);
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunHistory.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunHistory.java
@@ -17,6 +17,7 @@
     private int attempts;
     private int possibleRuns;
     private boolean mayHaveRun;
+    private boolean hasCrashedServer;
 
     /** Counts an attempt that is sent. */
     void onSent() {
@@ -34,6 +35,11 @@
         mayHaveRun = true;
     }
 
+    /** Records that a backend server ended when it began the answer; the request is not sent to another one. */
+    void onServerCrash() {
+        hasCrashedServer = true;
+    }
+
     boolean hasAttempt() {
         return attempts > 0;
     }
@@ -48,7 +54,7 @@
 
     /** Returns whether a request that may have run may be sent to another backend server. */
     boolean mayRepeat(ForwardRoute route, ResponseRelay relay) {
-        return mayRepeat(route, relay, possibleRuns);
+        return !hasCrashedServer && mayRepeat(route, relay, possibleRuns);
     }
 
     /** Returns whether the request could be sent to another backend server if the present run were abandoned. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -187,6 +187,7 @@
         private void onFirstByte() {
             started.isPrefillDone = true;
             started.backend.onPrefillDone(started.promptTokens);
+            services.crashes().onAnswerBegun(request.fields().promptParts());
             services.metrics()
                     .onFirstByte(admitted.teamName(), services.nanoTime().getAsLong() - request.arrivalNanos());
         }
@@ -266,6 +267,22 @@
                 return;
             }
             history.onPossibleRun();
+            if (status == ResponseChecks.OK && !relay.hasStarted()) {
+                services.connections().checkReachable(started.backend, this::onInterruptedAtBegin);
+            } else {
+                listener.onInterrupted();
+            }
+        }
+
+        /** The server had sent the head of the answer, and no event. */
+        private void onInterruptedAtBegin(boolean isReachable) {
+            if (!isReachable
+                    && services.crashes()
+                            .add(started.backend.id(), request.fields().promptParts())) {
+                trace.addTimedStep("backend server " + started.backend.id() + " crashed when it began the answer");
+                services.metrics().onServerCrash();
+                history.onServerCrash();
+            }
             listener.onInterrupted();
         }
     }
--- a/src/main/java/io/chivehollow/coordination/replica/ReplicaService.java
+++ b/src/main/java/io/chivehollow/coordination/replica/ReplicaService.java
@@ -21,6 +21,7 @@
 import io.chivehollow.coordination.budget.LendingPeriod;
 import io.chivehollow.coordination.budget.TeamBudget;
 import io.chivehollow.coordination.config.Configuration;
+import io.chivehollow.coordination.crash.CrashLedger;
 import io.chivehollow.coordination.loads.WeightLoadSchedule;
 import io.chivehollow.coordination.loads.WeightLoadStage;
 import io.chivehollow.protocol.wire.Borrow;
@@ -38,6 +39,8 @@
 import io.chivehollow.protocol.wire.Proposed;
 import io.chivehollow.protocol.wire.Query;
 import io.chivehollow.protocol.wire.QueryResult;
+import io.chivehollow.protocol.wire.ShareCrashes;
+import io.chivehollow.protocol.wire.SharedCrashes;
 import io.chivehollow.protocol.wire.StatusReport;
 import io.chivehollow.state.StateException;
 import io.chivehollow.state.consensus.ReplicatedLog;
@@ -76,6 +79,7 @@
     private final Scheduler.Timer housekeeping;
     private final Scheduler.Timer checkpoints;
     private final LeaderLending lending;
+    private final CrashLedger crashes;
     private final WeightLoadSchedule weightLoads;
     private volatile Configuration configuration;
 
@@ -98,6 +102,7 @@
         this.watches = new WatchQueue(log, state, scheduler);
         this.sessions = new SessionExpiry(log, state, clock, SESSION_TIMEOUT_MS);
         this.configuration = Configuration.of(state.releasedState());
+        this.crashes = CrashLedger.create(instance.value(), clock::nanoTime);
         this.lending = new LeaderLending(log, lender, this::budget, clock);
         this.housekeeping = scheduler.scheduleRepeating(HOUSEKEEPING_PERIOD_MS, this::housekeep);
         this.checkpoints = scheduler.scheduleRepeating(CHECKPOINT_PERIOD_MS, lending::checkpoint);
@@ -154,6 +159,7 @@
             }
             case PROPOSE -> propose(call, first.getPropose());
             case BORROW -> borrow(call, first.getBorrow());
+            case SHARE_CRASHES -> shareCrashes(call, first.getShareCrashes());
             case LOAD_REPORT -> reportWeightLoad(call, first.getLoadReport());
             case QUERY -> query(call, first.getQuery());
             case CHANGE_MEMBERS -> changeMembers(call, first.getChangeMembers());
@@ -255,6 +261,20 @@
         });
     }
 
+    private void shareCrashes(ServerCall call, ShareCrashes message) {
+        if (!log.holdsLease()) {
+            refuseAsNotLeader(call);
+            return;
+        }
+        crashes.merge(message.getCrashesList());
+        long digest = crashes.digest();
+        SharedCrashes.Builder response = SharedCrashes.newBuilder().setDigest(digest);
+        if (digest != message.getDigest()) {
+            response.addAllCrashes(crashes.toMessages());
+        }
+        call.finish(Frame.newBuilder().setSharedCrashes(response));
+    }
+
     private void reportWeightLoad(ServerCall call, LoadReport report) {
         lending.start().whenComplete((started, failure) -> {
             long nowNanos = clock.nanoTime();
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -21,6 +21,7 @@
 import io.chivehollow.coordination.budget.TeamBudget;
 import io.chivehollow.coordination.budget.Tolerance;
 import io.chivehollow.coordination.config.ConfigWatcher;
+import io.chivehollow.coordination.crash.CrashLedger;
 import io.chivehollow.coordination.forwarding.ForwardingContext;
 import io.chivehollow.coordination.forwarding.ForwardingRole;
 import io.chivehollow.coordination.gateway.GatewayRole;
@@ -30,6 +31,7 @@
 import io.chivehollow.coordination.placement.TwoChoicesPolicy;
 import io.chivehollow.coordination.replica.BudgetReporter;
 import io.chivehollow.coordination.replica.ControlClient;
+import io.chivehollow.coordination.replica.CrashReporter;
 import io.chivehollow.coordination.replica.LeaderWeightLoadPermits;
 import io.chivehollow.coordination.replica.ReplicaDirectory;
 import io.chivehollow.coordination.sidecar.LogStartRecordSource;
@@ -181,6 +183,8 @@
             TransportOptions options = TransportOptions.of(settings.instance(), "forwarding", settings.secret());
             register(FrameServer.start(forwarding.peerAddress(), options, resources.eventLoops(), directory));
         }
+        CrashLedger crashes = CrashLedger.create(settings.instance().value(), resources.clock()::nanoTime);
+        register(CrashReporter.start(crashes, control, resources.scheduler()));
         ForwardingContext context = new ForwardingContext(
                 settings.instance(),
                 isLeaseHolder,
@@ -188,6 +192,7 @@
                 config,
                 control,
                 budget,
+                crashes,
                 resources.eventLoops(),
                 resources.scheduler(),
                 new SplittableRandom(),
