Read the list of backend servers again after a failure of any kind

What operators saw: machines stopped following the list of backend servers until they were started again.

Cause: BackendListPoller scheduled the next read only in the callback of the future. A read that threw instead of returning a failed future, and a list that the table could not use, skipped the call; the scheduler and the event loop logged the exception, and nothing read the list any more.

Evidence: three of the four kinds of listIsReadAgainAfterAFailure failed before (an exception and a StackOverflowError thrown by the read, and a list that the table cannot use), each with "reads: 1 expected [true] but found [false]" after 10 s. No entry is known that takes this path since entries are checked when they are parsed; a failed future was handled before.

Fix: reading and applying the list are stages of one future, which catches each Throwable; its last stage always schedules the next read.

--- a/src/main/java/io/chivehollow/coordination/forwarding/BackendListPoller.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/BackendListPoller.java
@@ -1,6 +1,7 @@
 package io.chivehollow.coordination.forwarding;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.chivehollow.base.Scheduler;
@@ -15,7 +16,8 @@
 /**
  * Reads the platform's list of backend servers periodically.
  *
- * <p>Invariant: at most one read is in progress; while the list cannot be read, the last one stays in use. Thread-safe.
+ * <p>Invariant: at most one read is in progress, and each is followed by another, however it ends; while the list
+ * cannot be read, the last one stays in use. Thread-safe.
  */
 final class BackendListPoller implements AutoCloseable {
 
@@ -63,15 +65,26 @@
 
     private void read() {
         if (!isClosed) {
-            list.read().whenComplete((entries, failure) -> loop.execute(() -> onRead(entries, failure)));
+            // Also covers a read that throws instead of returning a future.
+            CompletableFuture.completedFuture(list)
+                    .thenCompose(BackendList::read)
+                    .thenAcceptAsync(this::onRead, loop)
+                    .whenCompleteAsync((done, failure) -> onEnd(failure), loop);
         }
     }
 
-    private void onRead(@Nullable List<BackendEntry> entries, @Nullable Throwable failure) {
+    private void onRead(List<BackendEntry> entries) {
+        if (!isClosed) {
+            table.update(entries).forEach(connections::closeIdle);
+            hasRead = true;
+        }
+    }
+
+    private void onEnd(@Nullable Throwable failure) {
         if (isClosed) {
             return;
         }
-        if (entries == null) {
+        if (failure != null) {
             if (!hasFailed) {
                 LOG.warnf(
                         "The list of backend servers cannot be read; the last one received stays in use: %s", failure);
@@ -84,8 +97,6 @@
             LOG.info("The list of backend servers can be read again");
         }
         hasFailed = false;
-        hasRead = true;
-        table.update(entries).forEach(connections::closeIdle);
         scheduler.schedule(periodMs, this::read);
     }
 
