End a fetch whose request cannot be created

What operators would have seen: a machine that stops following the list of backend servers without a message above the level of Netty's warnings.

Cause: NettyHttpFetcher started the timer of a fetch after it had created the request. An exception there left a future that never completed, and the poller waits for each read to end.

Evidence: requestThatCannotBeCreatedFailsInTime failed before: the future was still open after 5 s (TimeoutException of the test instead of a CoordinationException). The paths that InstanceList requests are encoded, so that no entry is known to take this path.

Fix: the timer starts first, and ends a fetch however far it got.

--- a/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
@@ -74,11 +74,6 @@
                 fail(result, "Cannot connect to " + address, done.cause());
                 return;
             }
-            FullHttpRequest request =
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER);
-            request.headers()
-                    .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort())
-                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             Channel channel = connecting.channel();
             channel.eventLoop()
                     .schedule(
@@ -89,6 +84,11 @@
                             },
                             TIMEOUT_MS,
                             TimeUnit.MILLISECONDS);
+            FullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER);
+            request.headers()
+                    .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort())
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             channel.writeAndFlush(request);
         });
         return result;
--- a/src/test/java/io/chivehollow/coordination/forwarding/NettyHttpFetcherTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/NettyHttpFetcherTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
+import io.chivehollow.coordination.CoordinationException;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.testng.annotations.AfterMethod;
@@ -97,4 +98,14 @@
         serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "", 0);
         assertEquals(fetcher().get(address(), "/").join().status(), 200);
     }
+
+    @Test
+    public void requestThatCannotBeCreatedFailsInTime() {
+        serve("", "x", 100);
+        CompletionException failure = expectThrows(CompletionException.class, () -> fetcher()
+                .get(address(), "/a b\r\n")
+                .orTimeout(5, TimeUnit.SECONDS)
+                .join());
+        assertTrue(failure.getCause() instanceof CoordinationException, failure.toString());
+    }
 }
