Read pages of the list of backend servers of up to 4 MiB

What operators saw: one very large entry of another writer, and machines that stopped following the list.

Cause: NettyHttpFetcher refused a document of more than 1 MiB, so an entry of that size failed its page at each read. Parsing each entry alone does not help, because the page never arrives.

Evidence: pageWithOneVeryLargeEntryIsReturned (3 MiB) failed before with "TooLongHttpContentException: Response entity too large".

Fix: the limit is 4 MiB. An entry above the limit still fails the read of its page.

--- a/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
@@ -43,8 +43,8 @@
      */
     private static final int TIMEOUT_MS = 900;
 
-    /** One page of the list has 50 entries of about 250 bytes. */
-    private static final int MAX_BODY_BYTES = 1 << 20;
+    /** One page of the list has 50 entries of about 250 bytes; leaves room for a very large one of another writer. */
+    private static final int MAX_BODY_BYTES = 4 << 20;
 
     private final EventLoopGroup eventLoops;
 
--- a/src/test/java/io/chivehollow/coordination/forwarding/NettyHttpFetcherTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/NettyHttpFetcherTest.java
@@ -99,6 +99,14 @@
         assertEquals(fetcher().get(address(), "/").join().status(), 200);
     }
 
+    /** One entry of another writer must not make the whole page unreadable. */
+    @Test
+    public void pageWithOneVeryLargeEntryIsReturned() {
+        int bytes = 3 << 20;
+        serve("HTTP/1.1 200 OK\r\nContent-Length: " + bytes + "\r\n\r\n" + "x".repeat(bytes), "x", 100);
+        assertEquals(fetcher().get(address(), "/").join().body().length, bytes);
+    }
+
     @Test
     public void requestThatCannotBeCreatedFailsInTime() {
         serve("", "x", 100);
