Do not pass on "not run" statuses that the backend server did not state

Callers were told "not run, try again" (503, also 408 and 429) for requests that a backend server had run. A response with one of these statuses but without X-Not-Run was passed on as it was. The refusal of a memory reservation is such a response: on the wire it is a 503 with neither X-Not-Run nor a request id. A faulty server that writes it once more on the kept connection answers the next run with it.

A response with one of these statuses now counts as broken unless it states that the request was not run: an idempotent call is repeated, any other call gets 502.

statusThatPromisesNotRunIsNotPassedOnWithoutStatement failed before for all three statuses: "HTTP/1.1 408 Request Timeout" instead of 502, and the same with 429 and 503.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
@@ -1,5 +1,7 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.Set;
+
 import io.chivehollow.coordination.forwarding.adapter.BackendLoad;
 import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.backend.Backend;
@@ -19,6 +21,9 @@
     static final int MISDIRECTED = 421;
     private static final int REDIRECTION = 300;
 
+    /** Statuses that tell a caller that its request has not run. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, MISDIRECTED, 429, 503);
+
     private ResponseChecks() {}
 
     /** Reads the head; records the reported load and the idle timeout. The call may be null if it has ended. */
@@ -48,6 +53,9 @@
         if (relay.hasStarted() && status != OK && !fields.isNotRun()) {
             return "status " + status + " in place of the rest of the stream";
         }
+        if (NOT_RUN_STATUSES.contains(status) && !fields.isNotRun()) {
+            return "status " + status + " without the statement that the request was not run";
+        }
         boolean isSuccess = status >= OK && status < REDIRECTION;
         return isSuccess && !fields.isSigned()
                 ? "a success response without the signature of the backend server"
