Reject responses of another request also for prefills and own calls

The KV cache of another prompt was read into a run, and one memory reservation was used for two runs, when a backend server wrote an earlier response once more on a kept connection. Only runs compared the request id that the response states. The results of prefills were taken unchecked, and the router's own calls (reservation, release, role change) had no request id at all.

The connection now compares the ids of every call and fails a call whose response states another id, as for runs before; the connection is closed.

Failed before: prefillResultOfAnotherRequestIsNotUsed ("[127.0.0.1:37411/ka1] expected [false] but found [true]") and reservationGrantedTwiceIsUsedOnce ("lists don't have the same size expected [3] but found [2]").

--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -59,7 +59,7 @@
         this.loop = context.eventLoops().next();
         ForwardingAdapter adapter = adapter(settings.adapter());
         BackendTable table = BackendTable.create(System::nanoTime);
-        BackendConnections connections = BackendConnections.create(loop, System::nanoTime);
+        BackendConnections connections = BackendConnections.create(loop, System::nanoTime, adapter.dialect());
         this.listPoller = new BackendListPoller(
                 adapter.backendList(settings.backendListAddress(), new NettyHttpFetcher(context.eventLoops())),
                 table,
--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/Dialect.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/Dialect.java
@@ -4,6 +4,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Translates between the HTTP messages of a platform and the values that the router uses.
@@ -21,6 +22,10 @@
      */
     void setBackendHeaders(HttpHeaders copy, BackendFields fields);
 
+    /** Returns the request id in the header of a request or response, or null if it states none. */
+    @Nullable
+    String requestId(HttpHeaders headers);
+
     /** Parses the header of a backend server's response. */
     ResponseFields readResponse(int status, HttpHeaders headers);
 
@@ -34,7 +39,7 @@
      */
     PrefillResult readPrefillResponse(byte[] body);
 
-    /** Returns the request that releases the result of a prefill. */
+    /** Returns the request that releases the result of a prefill; like all requests of the router, with its own id. */
     FullHttpRequest releasePrefill(String backendServer, String handle);
 
     /** Returns the request that reserves memory for the given number of tokens and milliseconds. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -20,15 +20,22 @@
     private final BackendConnections connections;
     private final Backend backend;
     final BackendListener listener;
+    private final @Nullable String requestId;
     private @Nullable Channel channel;
     private @Nullable ScheduledFuture<?> timer;
     private boolean isEnded;
     private long idleTimeoutMs = -1;
 
-    BackendCall(BackendConnections connections, Backend backend, BackendListener listener) {
+    BackendCall(BackendConnections connections, Backend backend, BackendListener listener, @Nullable String requestId) {
         this.connections = connections;
         this.backend = backend;
         this.listener = listener;
+        this.requestId = requestId;
+    }
+
+    /** Returns whether a response that states the given request id, or none, may belong to this request. */
+    boolean mayBeAnsweredBy(@Nullable String statedId) {
+        return statedId == null || statedId.equals(requestId);
     }
 
     void write(Channel open, FullHttpRequest request) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
+import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.chivehollow.coordination.forwarding.backend.Backend.IdleConnection;
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
 import io.netty.bootstrap.Bootstrap;
@@ -50,11 +51,13 @@
 
     private final EventLoop loop;
     private final LongSupplier nanoTime;
+    private final Dialect dialect;
     private final Bootstrap bootstrap;
 
-    private BackendConnections(EventLoop loop, LongSupplier nanoTime) {
+    private BackendConnections(EventLoop loop, LongSupplier nanoTime, Dialect dialect) {
         this.loop = loop;
         this.nanoTime = nanoTime;
+        this.dialect = dialect;
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -63,7 +66,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        BackendHandler handler = new BackendHandler();
+                        BackendHandler handler = new BackendHandler(dialect);
                         channel.pipeline()
                                 .addLast(new ReceivedBytes(handler))
                                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
@@ -73,13 +76,13 @@
     }
 
     /** Returns an instance without connections that runs on the event loop. */
-    public static BackendConnections create(EventLoop loop, LongSupplier nanoTime) {
-        return new BackendConnections(loop, nanoTime);
+    public static BackendConnections create(EventLoop loop, LongSupplier nanoTime, Dialect dialect) {
+        return new BackendConnections(loop, nanoTime, dialect);
     }
 
     /** Sends the request, which is released; the returned call can be cancelled. */
     public BackendCall send(Backend backend, FullHttpRequest request, BackendListener listener) {
-        BackendCall call = new BackendCall(this, backend, listener);
+        BackendCall call = new BackendCall(this, backend, listener, dialect.requestId(request.headers()));
         Channel idle = takeIdle(backend);
         if (idle != null) {
             idle.pipeline().get(BackendHandler.class).start(call);
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -1,5 +1,6 @@
 package io.chivehollow.coordination.forwarding.backend;
 
+import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -14,9 +15,9 @@
 /**
  * Passes the responses on one connection to the call that waits for them.
  *
- * <p>Invariants: data that no call waits for closes the connection, so that it is never taken for a later response. A
- * response whose head or framing exceeds its limit fails its call, also if the codec never completes a message. Used on
- * the event loop of the connection.
+ * <p>Invariants: a response that states the id of another request fails the call. Data that no call waits for closes
+ * the connection, so that it is never taken for a later response. A response whose head or framing exceeds its limit
+ * fails its call, also if the codec never completes a message. Used on the event loop of the connection.
  */
 final class BackendHandler extends ChannelInboundHandlerAdapter {
 
@@ -32,6 +33,7 @@
     /** Framing bytes that are allowed for each byte of the body; a chunk of one byte has six. */
     private static final int FRAMING_PER_BODY_BYTE = 6;
 
+    private final Dialect dialect;
     private @Nullable BackendCall call;
     private @Nullable BackendCall completed;
     private long receivedBytes;
@@ -42,6 +44,10 @@
     private boolean isKeepAlive;
     private @Nullable Throwable error;
 
+    BackendHandler(Dialect dialect) {
+        this.dialect = dialect;
+    }
+
     void start(BackendCall started) {
         call = started;
         hasHead = false;
@@ -98,6 +104,13 @@
             isInterim = status >= CONTINUE && status < FIRST_FINAL;
             if (!isInterim) {
                 hasHead = true;
+                String statedId = dialect.requestId(head.headers());
+                if (!current.mayBeAnsweredBy(statedId)) {
+                    ReferenceCountUtil.release(message);
+                    call = null;
+                    current.fail(Failure.BROKEN_ANSWER, "the response belongs to request " + statedId);
+                    return;
+                }
                 isEndStated = ResponseFraming.isStated(head);
                 isKeepAlive = HttpUtil.isKeepAlive(head) && isEndStated;
                 current.listener.onHead(head);
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
@@ -44,12 +44,7 @@
      * Returns why the response must not be passed on to the caller, or null if it may be. The relay holds what earlier
      * runs have sent to the caller; only a stream can continue that.
      */
-    static @Nullable String rejectionReason(
-            ForwardRequest request, int status, ResponseFields fields, ResponseRelay relay) {
-        if (fields.requestId() != null
-                && !fields.requestId().equals(request.fields().requestId())) {
-            return "the response belongs to request " + fields.requestId();
-        }
+    static @Nullable String rejectionReason(int status, ResponseFields fields, ResponseRelay relay) {
         if (relay.hasStarted() && status != OK && !fields.isNotRun()) {
             return "status " + status + " in place of the rest of the stream";
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -127,7 +127,7 @@
             fields = openAttempt.readHead(started, head);
             isEndStated = ResponseFraming.isStated(head);
             trace.onHead(status, isEndStated);
-            String rejectionReason = ResponseChecks.rejectionReason(request, status, fields, relay);
+            String rejectionReason = ResponseChecks.rejectionReason(status, fields, relay);
             if (rejectionReason != null) {
                 openAttempt.cancel();
                 interrupted(Failure.BROKEN_ANSWER, rejectionReason);
--- a/src/test/java/io/chivehollow/coordination/forwarding/BackendListPollerTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/BackendListPollerTest.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Collections;
 import java.util.List;
+import java.util.ServiceLoader;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,8 @@
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
 import io.chivehollow.coordination.forwarding.adapter.BackendList;
+import io.chivehollow.coordination.forwarding.adapter.Dialect;
+import io.chivehollow.coordination.forwarding.adapter.ForwardingAdapter;
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendConnections;
 import io.chivehollow.coordination.forwarding.backend.BackendTable;
@@ -89,8 +92,11 @@
                     ? failing.list().read()
                     : CompletableFuture.completedFuture(List.of(entry));
         };
-        try (BackendListPoller poller = new BackendListPoller(
-                list, table, BackendConnections.create(loop, System::nanoTime), loop, Scheduler.on(loop), 10)) {
+        Dialect dialect =
+                ServiceLoader.load(ForwardingAdapter.class).findFirst().orElseThrow().dialect();
+        BackendConnections connections = BackendConnections.create(loop, System::nanoTime, dialect);
+        try (BackendListPoller poller =
+                new BackendListPoller(list, table, connections, loop, Scheduler.on(loop), 10)) {
             loop.execute(poller::start);
             assertTrue(thirdRead.await(MAX_S, TimeUnit.SECONDS), "reads: " + reads.get());
             assertTrue(poller.hasRead());
