Do not take a repeated refusal without a request id for that of a later run

A faulty backend server wrote an earlier refusal once more on a kept connection, without a request id, as the refusals of memory reservations are on the wire. The next run on the connection counted as refused: it was sent again and ran twice, also if it was not idempotent, or its caller was told "not run" while it ran.

A response without an id can only be attributed if no earlier one on its connection had none either. A connection is therefore no longer reused for a caller's request after a response without an id.

Failed before: refusalWithoutIdDoesNotCountForLaterNonIdempotentCall, refusalWithoutIdDoesNotCountForLaterStream and refusalOfReservationDoesNotCountForStream ("runs of b2 of [b2, b2] expected [1] but found [2]"), and refusalOfReservationWithoutNotRunFieldDoesNotCountForStream ("HTTP/1.1 502 Bad Gateway" for a stream that could have been served).

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -33,6 +33,10 @@
     private static final long FULL_NANOS = 50_000_000L;
 
     final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
+
+    /** The idle connections of the router's own calls. */
+    final Deque<IdleConnection> idleOwnConnections = new ArrayDeque<>();
+
     private final EngineEstimates estimates;
     private final PromptQueue promptQueue;
     private BackendEntry entry;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -21,16 +21,23 @@
     private final Backend backend;
     final BackendListener listener;
     private final @Nullable String requestId;
+    private final boolean isOwn;
     private @Nullable Channel channel;
     private @Nullable ScheduledFuture<?> timer;
     private boolean isEnded;
     private long idleTimeoutMs = -1;
 
-    BackendCall(BackendConnections connections, Backend backend, BackendListener listener, @Nullable String requestId) {
+    BackendCall(
+            BackendConnections connections,
+            Backend backend,
+            BackendListener listener,
+            @Nullable String requestId,
+            boolean isOwn) {
         this.connections = connections;
         this.backend = backend;
         this.listener = listener;
         this.requestId = requestId;
+        this.isOwn = isOwn;
     }
 
     /** Returns whether a response that states the given request id, or none, may belong to this request. */
@@ -38,6 +45,11 @@
         return statedId == null || statedId.equals(requestId);
     }
 
+    /** Returns whether the connection may be reused after a response that states the given request id, or none. */
+    boolean mayReuseAfter(@Nullable String statedId) {
+        return isOwn || statedId != null;
+    }
+
     void write(Channel open, FullHttpRequest request) {
         channel = open;
         open.writeAndFlush(request);
@@ -114,7 +126,7 @@
         }
         end();
         if (isReusable && channel != null) {
-            connections.returnIdle(backend, channel, idleTimeoutMs);
+            connections.returnIdle(backend, channel, idleTimeoutMs, isOwn);
         } else if (channel != null) {
             channel.close();
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -1,5 +1,6 @@
 package io.chivehollow.coordination.forwarding.backend;
 
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -22,8 +23,10 @@
 /**
  * Sends requests to backend servers over connections that are reused.
  *
- * <p>Invariant: a connection carries one request at a time and is reused only after a complete response. Used on the
- * event loop of the forwarding role only.
+ * <p>Invariants: a connection carries one request at a time and is reused only after a complete response. A connection
+ * that carries requests of callers has carried no response without a request id, because a server may write a response
+ * again in place of a later one, and only the id tells them apart. The router's own calls, whose responses often state
+ * no id, have connections of their own. Used on the event loop of the forwarding role only.
  */
 public final class BackendConnections {
 
@@ -42,7 +45,10 @@
      */
     private static final double IDLE_SHARE = 0.6;
 
-    /** Maximum number of idle connections to one server; a process sends at most a few concurrent requests to each. */
+    /**
+     * Maximum number of idle connections of each kind to one server; a process sends at most a few concurrent requests
+     * to each.
+     */
     private static final int MAX_IDLE = 16;
 
     private static final int MAX_LINE_BYTES = 4_096;
@@ -80,10 +86,14 @@
         return new BackendConnections(loop, nanoTime, dialect);
     }
 
-    /** Sends the request, which is released; the returned call can be cancelled. */
+    /** Sends the request of a caller, which is released; the returned call can be cancelled. */
     public BackendCall send(Backend backend, FullHttpRequest request, BackendListener listener) {
-        BackendCall call = new BackendCall(this, backend, listener, dialect.requestId(request.headers()));
-        Channel idle = takeIdle(backend);
+        return send(backend, request, listener, false);
+    }
+
+    private BackendCall send(Backend backend, FullHttpRequest request, BackendListener listener, boolean isOwn) {
+        BackendCall call = new BackendCall(this, backend, listener, dialect.requestId(request.headers()), isOwn);
+        Channel idle = takeIdle(isOwn ? backend.idleOwnConnections : backend.idleConnections);
         if (idle != null) {
             idle.pipeline().get(BackendHandler.class).start(call);
             call.write(idle, request);
@@ -106,7 +116,8 @@
     }
 
     /**
-     * Sends a request that is abandoned if no complete response arrives within the timeout in milliseconds.
+     * Sends the request of a caller, which is abandoned if no complete response arrives within the timeout in
+     * milliseconds.
      *
      * <p>An unresponsive server does not close its connections and is detected only by a timer.
      */
@@ -116,22 +127,25 @@
         return call;
     }
 
-    /** Tells whether the server accepts a connection now; the connection is kept for later requests. */
+    /** Sends a call of the router itself, which is abandoned after the timeout in milliseconds. */
+    public void sendOwn(Backend backend, FullHttpRequest request, ShortResponse listener, int timeoutMs) {
+        send(backend, request, listener, true).failAfter(loop, timeoutMs);
+    }
+
+    /** Tells whether the server accepts a connection now; the connection is kept for later requests of callers. */
     public void checkReachable(Backend backend, Consumer<Boolean> receiver) {
         ChannelFuture connecting = bootstrap.connect(backend.entry().address());
         connecting.addListener(done -> {
             if (done.isSuccess()) {
-                returnIdle(backend, connecting.channel(), -1);
+                returnIdle(backend, connecting.channel(), -1, false);
             }
             receiver.accept(done.isSuccess());
         });
     }
 
-    private @Nullable Channel takeIdle(Backend backend) {
+    private @Nullable Channel takeIdle(Deque<IdleConnection> connections) {
         long now = nanoTime.getAsLong();
-        for (IdleConnection next = backend.idleConnections.pollFirst();
-                next != null;
-                next = backend.idleConnections.pollFirst()) {
+        for (IdleConnection next = connections.pollFirst(); next != null; next = connections.pollFirst()) {
             if (next.channel().isActive() && next.expiryNanos() - now > 0) {
                 return next.channel();
             }
@@ -140,20 +154,26 @@
         return null;
     }
 
-    void returnIdle(Backend backend, Channel channel, long idleTimeoutMs) {
+    void returnIdle(Backend backend, Channel channel, long idleTimeoutMs, boolean isOwn) {
         channel.config().setAutoRead(true);
-        if (!backend.isUsable() || backend.idleConnections.size() >= MAX_IDLE) {
+        Deque<IdleConnection> connections = isOwn ? backend.idleOwnConnections : backend.idleConnections;
+        if (!backend.isUsable() || connections.size() >= MAX_IDLE) {
             channel.close();
             return;
         }
         long statedMs = idleTimeoutMs < 0 ? DEFAULT_IDLE_MS : idleTimeoutMs;
         long usableNanos = (long) (TimeUnit.MILLISECONDS.toNanos(statedMs) * IDLE_SHARE);
-        backend.idleConnections.addFirst(new IdleConnection(channel, nanoTime.getAsLong() + usableNanos));
+        connections.addFirst(new IdleConnection(channel, nanoTime.getAsLong() + usableNanos));
     }
 
     /** Closes the idle connections of a backend server that is no longer used. */
     public void closeIdle(Backend backend) {
-        backend.idleConnections.forEach(connection -> connection.channel().close());
-        backend.idleConnections.clear();
+        closeAll(backend.idleConnections);
+        closeAll(backend.idleOwnConnections);
+    }
+
+    private static void closeAll(Deque<IdleConnection> connections) {
+        connections.forEach(connection -> connection.channel().close());
+        connections.clear();
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -112,7 +112,7 @@
                     return;
                 }
                 isEndStated = ResponseFraming.isStated(head);
-                isKeepAlive = HttpUtil.isKeepAlive(head) && isEndStated;
+                isKeepAlive = HttpUtil.isKeepAlive(head) && isEndStated && current.mayReuseAfter(statedId);
                 current.listener.onHead(head);
             }
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
@@ -118,7 +118,7 @@
         result = null;
         if (unused != null) {
             services.connections()
-                    .send(
+                    .sendOwn(
                             unused.backend(),
                             services.dialect()
                                     .releasePrefill(
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -92,7 +92,7 @@
 
     /** Releases a reservation that is not used. */
     public void release(MemoryReservation reservation) {
-        connections.send(
+        connections.sendOwn(
                 reservation.backend(),
                 dialect.releaseReservation(reservation.backend().id(), reservation.id()),
                 new ShortResponse((status, body) ->
@@ -167,7 +167,7 @@
         private void sendRequest(QueuedMemoryRequest queued, Backend backend, long tokens) {
             openRequests++;
             backend.onReserve(tokens);
-            connections.send(
+            connections.sendOwn(
                     backend,
                     dialect.reserve(backend.id(), tokens, queued.request.reservationMs()),
                     new ShortResponse((status, body) -> onResponse(queued, backend, tokens, status, body)),
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/RoleChangeSender.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/RoleChangeSender.java
@@ -179,7 +179,7 @@
         LOG.infof(
                 "Backend server %s gets the command to change its role to %s, fencing number %d",
                 change.backendServer(), change.role(), number);
-        connections.send(
+        connections.sendOwn(
                 backend.get(),
                 dialect.changeRole(change.backendServer(), change.role(), instance.value(), number),
                 new ShortResponse((status, body) -> LOG.infof(
