Do not resend a refused request over the connection of its refusal

Callers were told "not run, try again" for requests that a backend server was running, and non-idempotent requests ran twice: a request that waits after a refusal is sent again with the same id, usually to the same server over the same kept connection. If a faulty server writes the first refusal once more there, its id matches and the second attempt counts as refused too. The same happened to callers that retry with the id of their refused attempt.

Each connection now keeps the hash codes of the request ids to which it has carried a response other than a success, and such a request takes another idle connection or a new one. Other requests still reuse the connection.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -20,8 +20,8 @@
     private final BackendConnections connections;
     private final Backend backend;
     final BackendListener listener;
-    private final @Nullable String requestId;
-    private final boolean isOwn;
+    final @Nullable String requestId;
+    final boolean isOwn;
     private @Nullable Channel channel;
     private @Nullable ScheduledFuture<?> timer;
     private boolean isEnded;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -1,6 +1,7 @@
 package io.chivehollow.coordination.forwarding.backend;
 
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -25,8 +26,9 @@
  *
  * <p>Invariants: a connection carries one request at a time and is reused only after a complete response. A connection
  * that carries requests of callers has carried no response without a request id, because a server may write a response
- * again in place of a later one, and only the id tells them apart. The router's own calls, whose responses often state
- * no id, have connections of their own. Used on the event loop of the forwarding role only.
+ * again in place of a later one, and only the id tells them apart. For the same reason, a request is not sent again
+ * over a connection that has carried a response to it other than a success. The router's own calls, whose responses
+ * often state no id, have connections of their own. Used on the event loop of the forwarding role only.
  */
 public final class BackendConnections {
 
@@ -93,7 +95,7 @@
 
     private BackendCall send(Backend backend, FullHttpRequest request, BackendListener listener, boolean isOwn) {
         BackendCall call = new BackendCall(this, backend, listener, dialect.requestId(request.headers()), isOwn);
-        Channel idle = takeIdle(isOwn ? backend.idleOwnConnections : backend.idleConnections);
+        Channel idle = takeIdle(isOwn ? backend.idleOwnConnections : backend.idleConnections, call);
         if (idle != null) {
             idle.pipeline().get(BackendHandler.class).start(call);
             call.write(idle, request);
@@ -143,13 +145,18 @@
         });
     }
 
-    private @Nullable Channel takeIdle(Deque<IdleConnection> connections) {
+    private @Nullable Channel takeIdle(Deque<IdleConnection> connections, BackendCall call) {
         long now = nanoTime.getAsLong();
-        for (IdleConnection next = connections.pollFirst(); next != null; next = connections.pollFirst()) {
-            if (next.channel().isActive() && next.expiryNanos() - now > 0) {
-                return next.channel();
+        for (Iterator<IdleConnection> idle = connections.iterator(); idle.hasNext(); ) {
+            IdleConnection next = idle.next();
+            Channel channel = next.channel();
+            if (!channel.isActive() || next.expiryNanos() - now <= 0) {
+                idle.remove();
+                channel.close();
+            } else if (channel.pipeline().get(BackendHandler.class).mayCarry(call)) {
+                idle.remove();
+                return channel;
             }
-            next.channel().close();
         }
         return null;
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -34,6 +34,7 @@
     private static final int FRAMING_PER_BODY_BYTE = 6;
 
     private final Dialect dialect;
+    private final UnsuccessfulRequests unsuccessful = new UnsuccessfulRequests();
     private @Nullable BackendCall call;
     private @Nullable BackendCall completed;
     private long receivedBytes;
@@ -56,6 +57,11 @@
         bodyBytes = 0;
     }
 
+    /** Returns whether the response to the call could not be taken for an earlier one on this connection. */
+    boolean mayCarry(BackendCall next) {
+        return !unsuccessful.mayContain(next.requestId);
+    }
+
     /** Returns whether a call waits for data. */
     boolean isWaiting() {
         return call != null;
@@ -112,7 +118,13 @@
                     return;
                 }
                 isEndStated = ResponseFraming.isStated(head);
-                isKeepAlive = HttpUtil.isKeepAlive(head) && isEndStated && current.mayReuseAfter(statedId);
+                if (!current.isOwn) {
+                    unsuccessful.add(current.requestId, status);
+                }
+                isKeepAlive = !unsuccessful.isFull()
+                        && HttpUtil.isKeepAlive(head)
+                        && isEndStated
+                        && current.mayReuseAfter(statedId);
                 current.listener.onHead(head);
             }
         }
