--- a/src/test/java/io/chivehollow/coordination/forwarding/BackendListPollerTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/BackendListPollerTest.java
@@ -92,11 +92,12 @@
                     ? failing.list().read()
                     : CompletableFuture.completedFuture(List.of(entry));
         };
-        Dialect dialect =
-                ServiceLoader.load(ForwardingAdapter.class).findFirst().orElseThrow().dialect();
+        Dialect dialect = ServiceLoader.load(ForwardingAdapter.class)
+                .findFirst()
+                .orElseThrow()
+                .dialect();
         BackendConnections connections = BackendConnections.create(loop, System::nanoTime, dialect);
-        try (BackendListPoller poller =
-                new BackendListPoller(list, table, connections, loop, Scheduler.on(loop), 10)) {
+        try (BackendListPoller poller = new BackendListPoller(list, table, connections, loop, Scheduler.on(loop), 10)) {
             loop.execute(poller::start);
             assertTrue(thirdRead.await(MAX_S, TimeUnit.SECONDS), "reads: " + reads.get());
             assertTrue(poller.hasRead());
