Do not join an incomplete extra response with the next one on its connection

What callers saw: a success in place of the status of the backend server, and fields of two responses in one.

Cause: bytes after a response close its connection if the codec makes a message of them. It keeps those of an incomplete head for itself; they then began the next response on the connection. Class of fault: the answer of one run was taken for that of another.

Change: before a connection is kept, its codec is replaced. The old one passes on the bytes that it has not decoded, and the connection is closed as for any other bytes after a response.

The cost of the new codec for each kept connection was not measured.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -77,7 +77,7 @@
                         BackendHandler handler = new BackendHandler(dialect);
                         channel.pipeline()
                                 .addLast(new ReceivedBytes(handler))
-                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(newCodec())
                                 .addLast(handler);
                     }
                 });
@@ -88,6 +88,10 @@
         return new BackendConnections(loop, nanoTime, dialect);
     }
 
+    static HttpClientCodec newCodec() {
+        return new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+    }
+
     /** Sends the request of a caller, which is released; the returned call can be cancelled. */
     public BackendCall send(Backend backend, FullHttpRequest request, BackendListener listener) {
         return send(backend, request, listener, false);
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -4,6 +4,7 @@
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -158,10 +159,22 @@
     /** Ends a call once all that was read with its response is decoded, so that bytes after it close the connection. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        if (completed != null && isKeepAlive) {
+            renewCodec(context);
+        }
         complete();
         context.fireChannelReadComplete();
     }
 
+    /**
+     * Replaces the codec by one that has received nothing. The old one passes on the bytes that it has not decoded, for
+     * instance an incomplete head, with which the next response would begin.
+     */
+    private static void renewCodec(ChannelHandlerContext context) {
+        context.pipeline().remove(HttpClientCodec.class);
+        context.pipeline().addBefore(context.name(), null, BackendConnections.newCodec());
+    }
+
     private void complete() {
         BackendCall ended = completed;
         completed = null;
