Do not pass events on that an earlier run of the stream has sent

What callers saw: a stream with its last chunk and with events that came twice.

Cause: any 200 continued a resumed stream, also one that starts again at the first event. Class of fault: the answer of one run was taken for that of another; the check of the status left this case open.

Change: a run that resumes a stream is interrupted at an event whose id is not above the last one of the run before. The stream goes to a further server if the route allows one, or its connection is closed without an end. A gap between ids is not judged, since ids need only increase.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -142,7 +142,7 @@
             bodyBytes += content.content().readableBytes();
             if (!current.listener.onData(content.content())) {
                 call = null;
-                current.fail(Failure.BROKEN_ANSWER, "the body exceeds the limit of its receiver");
+                current.fail(Failure.BROKEN_ANSWER, "the body exceeds the limit of its receiver or repeats events");
                 return;
             }
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
@@ -29,7 +29,18 @@
     private long lastSeenId = -1;
     private long lastCompleteId = -1;
 
-    /** Adds data, which is released, and returns all complete events that have not been returned yet. */
+    /** Id after which the present run resumes the stream, or -1 if it is the first run. */
+    private long resumedAfterId = -1;
+
+    /** Whether the incomplete event has a numeric id. */
+    private boolean hasSeenId;
+
+    private boolean hasRepeatedEvent;
+
+    /**
+     * Adds data, which is released, and returns all complete events that have not been returned yet. A resumed stream
+     * ends before an event that an earlier run has sent already.
+     */
     ByteBuf add(ByteBuf data) {
         int start = pending.readerIndex();
         int scanStart = pending.writerIndex();
@@ -40,8 +51,13 @@
         for (int i = indexOfLineFeed(scanStart); i >= 0; i = indexOfLineFeed(i + 1)) {
             int lineEnd = i > lineStart && pending.getByte(i - 1) == CARRIAGE_RETURN ? i - 1 : i;
             if (lineEnd == lineStart) {
+                if (resumedAfterId >= 0 && hasSeenId && lastSeenId <= resumedAfterId) {
+                    hasRepeatedEvent = true;
+                    break;
+                }
                 end = i + 1;
                 lastCompleteId = lastSeenId;
+                hasSeenId = false;
             } else {
                 readLine(lineStart, lineEnd);
             }
@@ -68,17 +84,26 @@
         if (line.startsWith(ID_FIELD)) {
             try {
                 lastSeenId = Long.parseLong(line.substring(ID_FIELD.length()).strip());
+                hasSeenId = true;
             } catch (NumberFormatException e) {
                 // A stream cannot be resumed after an id that is not a number; the last numeric id stays in use.
             }
         }
     }
 
-    /** Discards the received part of an interrupted event. */
+    /** Discards the received part of an interrupted event; another run may resume the stream. */
     void discardPartial() {
         pending.clear();
         lineOffset = 0;
         lastSeenId = lastCompleteId;
+        hasSeenId = false;
+        resumedAfterId = lastCompleteId;
+        hasRepeatedEvent = false;
+    }
+
+    /** Returns whether the run that resumes the stream has sent an event of an earlier run. */
+    boolean hasRepeatedEvent() {
+        return hasRepeatedEvent;
     }
 
     /** Returns whether an incomplete event is buffered. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
@@ -16,7 +16,8 @@
     /**
      * Passes on a part of the body; the buffer is released.
      *
-     * @return false if the body exceeds the limits of the relay, so that the response cannot be completed
+     * @return false if the body exceeds the limits of the relay or does not continue what was passed on before, so that
+     *     the response cannot be completed
      */
     boolean data(ByteBuf data);
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
@@ -9,8 +9,8 @@
 /**
  * Passes the events of a streamed response on as they arrive.
  *
- * <p>Invariant: the caller receives complete events only, so that an interrupted stream can be resumed at another
- * backend server after the last of them. Not thread-safe.
+ * <p>Invariants: the caller receives complete events only, so that an interrupted stream can be resumed at another
+ * backend server after the last of them; no event of an earlier run is passed on again. Not thread-safe.
  */
 final class StreamRelay implements ResponseRelay {
 
@@ -39,7 +39,7 @@
             start();
             sink.data(completeEvents);
         }
-        return !events.isPartialTooLong();
+        return !events.isPartialTooLong() && !events.hasRepeatedEvent();
     }
 
     private void start() {
