Do not resume a stream before events that have no numeric id

What callers saw: a stream with its last chunk in which events without a numeric id came twice.

Cause: such an event kept the id of the one before it. The next run resumed after that id and sent the event again. Class of fault: the absence of an id was taken for the place of an earlier one.

Change: an event with data and without a numeric id leaves the stream without a place to resume at; a comment does not. An interrupted stream then ends without its last chunk.

Evidence: eventsWithoutNumericIdAreNotSentTwice (no id, "id: x", "id") failed in all three cases before ("data: b" twice and the last chunk) and passes now, as do EventSplitterTest, GenerationForwardingTest and EndlessResponseTest.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
@@ -20,21 +20,25 @@
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
+    private static final String DATA_FIELD = "data";
 
     private final ByteBuf pending = Unpooled.buffer();
 
     /** Start of the last line, which is incomplete, in bytes from the start of the pending data. */
     private int lineOffset;
 
-    private long lastSeenId = -1;
+    /** Numeric id of the incomplete event, or -1 if it has none. */
+    private long seenId = -1;
+
+    /** Whether the incomplete event has data; without data it is a comment or sets a field of the stream. */
+    private boolean hasSeenData;
+
+    /** Numeric id of the last complete event, or -1 if it has none. */
     private long lastCompleteId = -1;
 
     /** Id after which the present run resumes the stream, or -1 if it is the first run. */
     private long resumedAfterId = -1;
 
-    /** Whether the incomplete event has a numeric id. */
-    private boolean hasSeenId;
-
     private boolean hasRepeatedEvent;
 
     /**
@@ -51,13 +55,12 @@
         for (int i = indexOfLineFeed(scanStart); i >= 0; i = indexOfLineFeed(i + 1)) {
             int lineEnd = i > lineStart && pending.getByte(i - 1) == CARRIAGE_RETURN ? i - 1 : i;
             if (lineEnd == lineStart) {
-                if (resumedAfterId >= 0 && hasSeenId && lastSeenId <= resumedAfterId) {
+                if (resumedAfterId >= 0 && seenId >= 0 && seenId <= resumedAfterId) {
                     hasRepeatedEvent = true;
                     break;
                 }
                 end = i + 1;
-                lastCompleteId = lastSeenId;
-                hasSeenId = false;
+                onEventEnd();
             } else {
                 readLine(lineStart, lineEnd);
             }
@@ -72,31 +75,53 @@
         return completeEvents;
     }
 
+    private void onEventEnd() {
+        if (hasSeenData || seenId >= 0) {
+            lastCompleteId = seenId;
+        }
+        seenId = -1;
+        hasSeenData = false;
+    }
+
     private int indexOfLineFeed(int from) {
         return pending.indexOf(from, pending.writerIndex(), LINE_FEED);
     }
 
     private void readLine(int start, int end) {
-        if (end - start <= ID_FIELD.length() || pending.getByte(start) != ID_FIELD.charAt(0)) {
-            return;
+        if (hasPrefix(DATA_FIELD, start, end)) {
+            hasSeenData = true;
+        } else if (hasPrefix(ID_FIELD, start, end)) {
+            int valueStart = start + ID_FIELD.length();
+            seenId = parseId(pending.toString(valueStart, end - valueStart, StandardCharsets.ISO_8859_1));
         }
-        String line = pending.toString(start, end - start, StandardCharsets.ISO_8859_1);
-        if (line.startsWith(ID_FIELD)) {
-            try {
-                lastSeenId = Long.parseLong(line.substring(ID_FIELD.length()).strip());
-                hasSeenId = true;
-            } catch (NumberFormatException e) {
-                // A stream cannot be resumed after an id that is not a number; the last numeric id stays in use.
+    }
+
+    private boolean hasPrefix(String prefix, int start, int end) {
+        if (end - start < prefix.length()) {
+            return false;
+        }
+        for (int i = 0; i < prefix.length(); i++) {
+            if (pending.getByte(start + i) != prefix.charAt(i)) {
+                return false;
             }
         }
+        return true;
+    }
+
+    private static long parseId(String value) {
+        try {
+            return Math.max(-1, Long.parseLong(value.strip()));
+        } catch (NumberFormatException e) {
+            return -1;
+        }
     }
 
     /** Discards the received part of an interrupted event; another run may resume the stream. */
     void discardPartial() {
         pending.clear();
         lineOffset = 0;
-        lastSeenId = lastCompleteId;
-        hasSeenId = false;
+        seenId = -1;
+        hasSeenData = false;
         resumedAfterId = lastCompleteId;
         hasRepeatedEvent = false;
     }
@@ -116,7 +141,7 @@
         return pending.readableBytes() > MAX_EVENT_BYTES;
     }
 
-    /** Returns the id of the last complete event, or an empty value if no event had a numeric id. */
+    /** Returns the id of the last complete event, or an empty value if it had no numeric id. */
     OptionalLong lastId() {
         return lastCompleteId < 0 ? OptionalLong.empty() : OptionalLong.of(lastCompleteId);
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
@@ -44,7 +44,7 @@
     /** Returns whether another backend server can resume the response at the point of interruption. */
     boolean canResume();
 
-    /** Returns the id of the last event that was sent to the caller, or an empty value if there is none. */
+    /** Returns the id of the last event that was sent to the caller, or an empty value if it has no numeric id. */
     OptionalLong lastEventId();
 
     /** Releases the buffered data. */
