Do not take comments for the events of a stream of no stated length

What callers saw: a comment and the last chunk.

Cause: any complete block counted as an event of the current run, also a comment, which servers send to keep a connection open. Class of fault: the absence of an error was taken for the end.

Change: only a block with data or a numeric id counts as an event.

Evidence: streamWithoutLengthOfCommentsOnlyIsNotComplete failed before (": wait" and the last chunk) and passes now, as do the other cases of InterruptedResponseTest, GenerationForwardingTest and EventSplitterTest.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
@@ -40,6 +40,7 @@
     private long resumedAfterId = -1;
 
     private boolean hasRepeatedEvent;
+    private boolean hasEventOfRun;
 
     /**
      * Adds data, which is released, and returns all complete events that have not been returned yet. A resumed stream
@@ -78,6 +79,7 @@
     private void onEventEnd() {
         if (hasSeenData || seenId >= 0) {
             lastCompleteId = seenId;
+            hasEventOfRun = true;
         }
         seenId = -1;
         hasSeenData = false;
@@ -124,6 +126,12 @@
         hasSeenData = false;
         resumedAfterId = lastCompleteId;
         hasRepeatedEvent = false;
+        hasEventOfRun = false;
+    }
+
+    /** Returns whether the present run has sent a complete event; comments do not count. */
+    boolean hasEventOfRun() {
+        return hasEventOfRun;
     }
 
     /** Returns whether the run that resumes the stream has sent an event of an earlier run. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
@@ -21,7 +21,6 @@
     private final Runnable onFirstByte;
     private final EventSplitter events = new EventSplitter();
     private boolean hasStarted;
-    private boolean hasEventOfRun;
 
     StreamRelay(boolean isResumable, int status, HttpHeaders headers, CallerSink sink, Runnable onFirstByte) {
         this.isResumable = isResumable;
@@ -35,7 +34,6 @@
     public boolean data(ByteBuf data) {
         ByteBuf completeEvents = events.add(data);
         if (completeEvents.isReadable()) {
-            hasEventOfRun = true;
             start();
             sink.data(completeEvents);
         }
@@ -55,7 +53,7 @@
 
     @Override
     public boolean isComplete(boolean isEndStated) {
-        return !events.hasPartial() && (isEndStated || hasEventOfRun);
+        return !events.hasPartial() && (isEndStated || events.hasEventOfRun());
     }
 
     @Override
@@ -67,7 +65,6 @@
     @Override
     public void onInterrupted() {
         events.discardPartial();
-        hasEventOfRun = false;
     }
 
     @Override
