Do not take a response without a body for one that ends with its connection

What callers saw: 502 in place of a 204 or 304 whose server accepted no connection after it; and a connect before each such response.

Cause: without a length or chunks a response counted as ended by its connection. A 204, a 304 and the response to HEAD have no body and end with their head.

Change: a response that the codec ends while its connection is open needs no check of the server.

Evidence: responseWithoutBodyIsCompleteAtTheCrashOfItsServer failed for 204 and 304 before ("HTTP/1.1 502 Bad Gateway ... backend_failed") and passes now, as do InterruptedResponseTest, PlainForwardingTest, GenerationForwardingTest and EndlessResponseTest.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -130,11 +130,11 @@
             }
         }
         if (message instanceof HttpContent content) {
-            onContent(current, content);
+            onContent(context, current, content);
         }
     }
 
-    private void onContent(BackendCall current, HttpContent content) {
+    private void onContent(ChannelHandlerContext context, BackendCall current, HttpContent content) {
         boolean isLast = content instanceof LastHttpContent;
         if (isInterim || current.isEnded() || !content.content().isReadable()) {
             content.release();
@@ -148,6 +148,8 @@
         }
         if (isLast && !isInterim) {
             call = null;
+            // The codec ends a response before its connection ends only if the response states its end or has no body.
+            isEndStated |= context.channel().isActive();
             if (error != null) {
                 current.fail(Failure.BROKEN_ANSWER, "connection failed: " + error);
             } else {
