Do not ask a crashing server for a connection before its port is closed

What callers saw: a stream with its last chunk although its server had crashed in the middle.

Cause: the system closes the sockets of a crashed process one after the other. Class of fault: the absence of an error was taken for the end.

Change: the check is made 20 ms after the end of the connection. A server that is listed as draining is not asked at all, as its answer did not matter. Responses that end with their connection are complete 20 ms later; one whose server takes longer to close its port still looks complete.

Evidence: streamWithoutLengthIsNotCompletedByACrashThatClosesThePortLast (port closed 5 ms after the connections) failed before (last chunk) and passes now, as do InterruptedResponseTest, PlainForwardingTest and EndlessResponseTest.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -110,8 +110,12 @@
         if (isEnded) {
             return;
         }
+        // The connections of a server that shuts down as announced end after its last response.
+        if (backend.entry().isDraining()) {
+            complete(false);
+            return;
+        }
         connections.checkReachable(backend, isReachable -> {
-            // The connections of a server that shuts down as announced end after its last response.
             if (isReachable || backend.entry().isDraining()) {
                 complete(false);
             } else {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -53,6 +53,9 @@
      */
     private static final int MAX_IDLE = 16;
 
+    /** Time in milliseconds in which the system closes the port of a crashed server after its first connection. */
+    private static final int CRASH_MS = 20;
+
     private static final int MAX_LINE_BYTES = 4_096;
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 16_384;
@@ -138,8 +141,15 @@
         send(backend, request, listener, true).failAfter(loop, timeoutMs);
     }
 
-    /** Tells whether the server accepts a connection now; the connection is kept for later requests of callers. */
+    /**
+     * Tells whether the server still accepts connections after one of its connections has ended; the new connection is
+     * kept for later requests of callers.
+     */
     public void checkReachable(Backend backend, Consumer<Boolean> receiver) {
+        loop.schedule(() -> tryConnect(backend, receiver), CRASH_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tryConnect(Backend backend, Consumer<Boolean> receiver) {
         ChannelFuture connecting = bootstrap.connect(backend.entry().address());
         connecting.addListener(done -> {
             if (done.isSuccess()) {
