Do not let the method of a later request decide on the body of a response

What callers saw: "Content-Length: 5" without a body, so that the head of the next response was read as that body.

Cause: the codec of the connection keeps the methods of the requests to know which response has no body, and takes one for each response that it encodes. A 100 (Continue) took the method of its request; the final response took that of a HEAD sent after it. Class of fault: what belongs to one request was taken for that of another.

Change: the interim response is written past the codec.

Evidence: responseKeepsItsBodyIfAHeadRequestIsSentAfterItsInterimResponse failed before (two heads, the first with "Content-Length: 5", and no body) and passes now, as do InterruptedResponseTest and PlainForwardingTest.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
@@ -1,5 +1,6 @@
 package io.chivehollow.coordination.forwarding.ingress;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -29,6 +30,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -53,6 +55,7 @@
     private static final int MAX_PENDING_PARTS = 256;
 
     private static final int SO_LINGER_OFF = -1;
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private static final Logger LOG = Logger.getLogger(IngressConnection.class);
 
@@ -142,11 +145,15 @@
             refuseIncomplete(
                     ErrorCode.BODY_TOO_LARGE, "The body must have at most " + limits.maxBodyBytes() + " bytes");
         } else if (HttpUtil.is100ContinueExpected(request)) {
-            read.writeAndFlush(new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            sendContinue(read);
         }
     }
 
+    /** Sends the interim response past the codec, which would take it for the response to the request. */
+    private static void sendContinue(ChannelHandlerContext read) {
+        read.pipeline().context(HttpServerCodec.class).writeAndFlush(Unpooled.wrappedBuffer(CONTINUE));
+    }
+
     private void onBody(ChannelHandlerContext read, HttpContent content) {
         ByteBuf collected = body;
         HttpRequest request = head;
