Do not pass a length on that contradicts the chunks of its response

What callers saw: "Content-Length: 2" and a body of four bytes, so that the end of the body was read as the start of the next response.

Cause: the codec removes the length of a response that has chunks too, but not from one of HTTP/1.0. Class of fault: a sign of the end that is ambiguous.

Change: a response with both fails as not valid HTTP.

Evidence: lengthThatContradictsTheChunksOfAnOldVersionIsNotPassedOn failed before (200, "Content-Length: 2", "four") and passes now, as do InterruptedResponseTest and PlainForwardingTest.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -107,6 +107,11 @@
             return;
         }
         if (message instanceof HttpResponse head) {
+            if (ResponseFraming.isContradictory(head)) {
+                call = null;
+                current.fail(Failure.BROKEN_ANSWER, "not valid HTTP: both a length and chunks");
+                return;
+            }
             int status = head.status().code();
             isInterim = status >= CONTINUE && status < FIRST_FINAL;
             if (!isInterim) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseFraming.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseFraming.java
@@ -19,4 +19,12 @@
     public static boolean isStated(HttpResponse head) {
         return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
     }
+
+    /**
+     * Returns whether the response states both a length and chunks. The codec removes the length from a response of
+     * HTTP/1.1, but not from one of HTTP/1.0.
+     */
+    static boolean isContradictory(HttpResponse head) {
+        return HttpUtil.isContentLengthSet(head) && HttpUtil.isTransferEncodingChunked(head);
+    }
 }
