Do not take the reset of the status connection for the end of a response

What the sidecar saw: a status of the engine from the first part of a response, in which metrics that had not arrived count as 0.

Cause: a reset closed the connection without ending the response. The close makes the decoder end a response of no stated length, before the handler that should have seen the reset. Class of fault: an ambiguous end of a connection was taken for the end of a message.

Change: what the decoder reports after a reset is ignored, so that the close is handled as an interruption, as the comment there says.

Evidence: statusWithoutLengthIsNotCompletedByAReset failed before ("Expected Exception to be thrown, but nothing was thrown") and passes now, as does StatusConnectionTest. A status of no stated length that ends in order is still taken as complete.

--- a/src/main/java/io/chivehollow/protocol/engine/StatusConnection.java
+++ b/src/main/java/io/chivehollow/protocol/engine/StatusConnection.java
@@ -1,5 +1,6 @@
 package io.chivehollow.protocol.engine;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -183,9 +184,14 @@
     private final class ResponseReader extends SimpleChannelInboundHandler<HttpObject> {
 
         private boolean isKeepAlive = true;
+        private boolean isReset;
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (isReset) {
+                // The decoder ends a response of no stated length at the close of its connection.
+                return;
+            }
             CollectingHandler handler = collector;
             if (handler == null
                     || ctx.channel() != channel
@@ -236,7 +242,7 @@
                 ctx.close();
                 return;
             }
-            boolean isReset = cause instanceof java.io.IOException;
+            isReset = cause instanceof IOException;
             if (isReset) {
                 // A reset is handled in channelInactive, like an orderly close.
                 ctx.close();
--- /dev/null
+++ b/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
@@ -0,0 +1,82 @@
+package io.chivehollow.protocol.engine;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.chivehollow.base.ErrorCode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.expectThrows;
+
+/** Guards against interrupted responses of an engine that are taken for complete ones. */
+@Test(singleThreaded = true, timeOut = 60_000)
+public class InterruptedEngineResponseTest {
+
+    private static final int TIMEOUT_MS = 20_000;
+    private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\n";
+
+    private EventLoopGroup loops;
+    private ServerSocket server;
+    private HttpEngineClient client;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        client = HttpEngineClient.create(
+                (InetSocketAddress) server.getLocalSocketAddress(), loops, TIMEOUT_MS, bootId -> {});
+    }
+
+    @AfterMethod
+    public void stop() throws IOException {
+        server.close();
+        stopEventLoops();
+    }
+
+    private void stopEventLoops() {
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** Accepts a connection, reads its request and sends the text. */
+    private Socket respond(String text) throws IOException {
+        Socket connection = server.accept();
+        BufferedReader reader =
+                new BufferedReader(new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
+        for (String line = reader.readLine(); !line.isEmpty(); line = reader.readLine()) {
+            // Skips the header fields; only the end of the header matters.
+        }
+        connection.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        return connection;
+    }
+
+    private static void assertInterrupted(CompletableFuture<?> result) {
+        EngineException failure = HttpEngineClient.failureOf(expectThrows(Exception.class, result::join));
+        assertEquals(failure.code(), ErrorCode.BACKEND_FAILED);
+        assertFalse(failure.isNotRun());
+    }
+
+    @Test
+    public void statusWithoutLengthIsNotCompletedByAReset() throws Exception {
+        CompletableFuture<EngineStatus> status = client.status();
+        try (Socket connection = respond(UNFRAMED + "vllm:num_requests_running 1")) {
+            Thread.sleep(50);
+            connection.setSoLinger(true, 0);
+        }
+        assertInterrupted(status);
+    }
+}
