Do not take an interrupted response of an engine for a complete one

What callers of an ordinary service saw: a 200 with the first part of the body.

Cause: a response with neither a length nor chunks was complete when its connection ended, also by a crash of the engine, by the end of the sidecar or when the sidecar cancelled the call. Class of fault: the absence of an error was taken for the end.

Change: such a response is complete only if this process did not close the connection and the engine still accepts one 20 ms later, as on the forwarding path. The stream of a generation shows its end by its finish reason and is not checked.

Evidence: the cases of InterruptedEngineResponseTest for a crash, the end of the process and a cancelled call failed before ("Expected Exception to be thrown, but nothing was thrown") and pass now, as do StatusConnectionTest, StandInEngineTest, the tests of the sidecar, PlainHttpTest and CancelHttpTest.

--- a/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
+++ b/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
@@ -9,8 +9,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -35,10 +39,17 @@
 
     private static final int CONNECT_TIMEOUT_MS = 1_000;
 
+    /** Time in milliseconds in which the system closes the port of a crashed server after its first connection. */
+    private static final int CRASH_MS = 20;
+
+    private final InetSocketAddress address;
     private final ResponseHandler handler;
+    private boolean isClosedHere;
+    private boolean isEndChecked;
     private boolean isEnded;
 
-    private EngineHttpExchange(ResponseHandler handler) {
+    private EngineHttpExchange(InetSocketAddress address, ResponseHandler handler) {
+        this.address = address;
         this.handler = handler;
     }
 
@@ -55,7 +66,7 @@
             FullHttpRequest request,
             int readTimeoutMs,
             ResponseHandler handler) {
-        EngineHttpExchange exchange = new EngineHttpExchange(handler);
+        EngineHttpExchange exchange = new EngineHttpExchange(address, handler);
         Bootstrap bootstrap = new Bootstrap()
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
@@ -67,6 +78,7 @@
                         channel.pipeline()
                                 .addLast(new ReadTimeoutHandler(readTimeoutMs, TimeUnit.MILLISECONDS))
                                 .addLast(new HttpClientCodec())
+                                .addLast(exchange.new CloseRecorder())
                                 .addLast(exchange);
                     }
                 });
@@ -103,14 +115,56 @@
             handler.onBody(ByteBufUtil.getBytes(content.content()));
         }
         if (message instanceof LastHttpContent) {
-            isEnded = true;
-            handler.onEnd();
+            onLast(ctx);
+        }
+    }
+
+    private void onLast(ChannelHandlerContext ctx) {
+        if (ctx.channel().isActive() || handler.hasEnd()) {
+            end();
             ctx.close();
+        } else if (!isClosedHere && !ctx.channel().eventLoop().isShuttingDown()) {
+            isEndChecked = true;
+            ctx.channel()
+                    .eventLoop()
+                    .schedule(() -> endIfReachable(ctx.channel().eventLoop()), CRASH_MS, TimeUnit.MILLISECONDS);
         }
     }
 
+    /**
+     * Ends a response whose end is marked only by the end of its connection, if the backend server can still be
+     * reached. The connections of a server that crashes end in the same way, but it accepts no new ones.
+     */
+    private void endIfReachable(EventLoop loop) {
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(address);
+        connecting.addListener(done -> {
+            connecting.channel().close();
+            if (done.isSuccess()) {
+                end();
+            } else {
+                fail(EngineException.mayHaveRun(
+                        ErrorCode.BACKEND_FAILED,
+                        "The connection ended, and the backend server cannot be reached",
+                        done.cause()));
+            }
+        });
+    }
+
+    private void end() {
+        isEnded = true;
+        handler.onEnd();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (isEndChecked) {
+            return;
+        }
         fail(EngineException.mayHaveRun(
                 ErrorCode.BACKEND_FAILED,
                 "Backend server closed the connection before the response was complete",
@@ -137,4 +191,14 @@
             handler.onFailure(failure);
         }
     }
+
+    /** Records that this process closes the connection, which ends a response of no stated length in the decoder. */
+    private final class CloseRecorder extends ChannelOutboundHandlerAdapter {
+
+        @Override
+        public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
+            isClosedHere = true;
+            ctx.close(promise);
+        }
+    }
 }
--- a/src/main/java/io/chivehollow/protocol/engine/GenerationHandler.java
+++ b/src/main/java/io/chivehollow/protocol/engine/GenerationHandler.java
@@ -79,6 +79,11 @@
         }
     }
 
+    @Override
+    public boolean hasEnd() {
+        return status == 200 && !finishReason.isEmpty();
+    }
+
     @Override
     public void onEnd() {
         if (status != 200) {
--- a/src/main/java/io/chivehollow/protocol/engine/ResponseHandler.java
+++ b/src/main/java/io/chivehollow/protocol/engine/ResponseHandler.java
@@ -14,6 +14,11 @@
 
     void onBody(byte[] bytes);
 
+    /** Returns whether the received body shows by itself that it is complete. */
+    default boolean hasEnd() {
+        return false;
+    }
+
     void onEnd();
 
     void onFailure(EngineException failure);
--- a/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
+++ b/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -52,6 +53,10 @@
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
+    private EngineCall<PlainResponse> call() {
+        return client.callPlain(new PlainRequest("GET", "/", List.of(), new byte[0]));
+    }
+
     /** Accepts a connection, reads its request and sends the text. */
     private Socket respond(String text) throws IOException {
         Socket connection = server.accept();
@@ -70,6 +75,33 @@
         assertFalse(failure.isNotRun());
     }
 
+    @Test
+    public void responseWithoutLengthIsNotCompletedByTheCrashOfTheEngine() throws Exception {
+        EngineCall<PlainResponse> call = call();
+        try (Socket connection = respond(UNFRAMED + "the first half")) {
+            Thread.sleep(50);
+            server.close();
+        }
+        assertInterrupted(call.result());
+    }
+
+    @Test
+    public void responseWithoutLengthIsNotCompletedByTheEndOfTheProcess() throws Exception {
+        EngineCall<PlainResponse> call = call();
+        try (Socket connection = respond(UNFRAMED + "the first half")) {
+            Thread.sleep(50);
+            stopEventLoops();
+            assertInterrupted(call.result());
+        }
+    }
+
+    @Test
+    public void responseWithoutLengthIsCompleteIfTheEngineGoesOn() throws Exception {
+        EngineCall<PlainResponse> call = call();
+        respond(UNFRAMED + "whole").close();
+        assertEquals(new String(call.result().get().body(), StandardCharsets.US_ASCII), "whole");
+    }
+
     @Test
     public void statusWithoutLengthIsNotCompletedByAReset() throws Exception {
         CompletableFuture<EngineStatus> status = client.status();
@@ -79,4 +111,14 @@
         }
         assertInterrupted(status);
     }
+
+    @Test
+    public void responseWithoutLengthIsNotCompletedByItsCancellation() throws Exception {
+        EngineCall<PlainResponse> call = call();
+        try (Socket connection = respond(UNFRAMED + "the first half")) {
+            Thread.sleep(50);
+            call.cancel();
+            assertInterrupted(call.result());
+        }
+    }
 }
