Do not take an interim response of an engine for the final one

What callers of an ordinary service saw: 502 for a status below 200 in place of the response of the service; a generation failed likewise.

Cause: the end of any message ended the exchange, also that of a 100 or 103 that precedes the response. Class of fault: an ambiguous end was taken for that of the response.

Change: messages of informational responses are skipped.

Evidence: interimResponseIsNotTakenForTheFinalOne failed before ("expected [200] but found [103]") and passes now, with the other cases of InterruptedEngineResponseTest.

--- a/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
+++ b/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
@@ -44,6 +45,7 @@
 
     private final InetSocketAddress address;
     private final ResponseHandler handler;
+    private boolean isInterim;
     private boolean isClosedHere;
     private boolean isEndChecked;
     private boolean isEnded;
@@ -108,6 +110,13 @@
             ctx.close();
             return;
         }
+        if (message instanceof HttpResponse response) {
+            isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        }
+        if (isInterim) {
+            // The final response follows.
+            return;
+        }
         if (message instanceof HttpResponse response) {
             handler.onHead(response.status().code(), response.headers());
         }
--- a/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
+++ b/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
@@ -121,4 +121,15 @@
             assertInterrupted(call.result());
         }
     }
+
+    @Test
+    public void interimResponseIsNotTakenForTheFinalOne() throws Exception {
+        EngineCall<PlainResponse> call = call();
+        try (Socket connection =
+                respond("HTTP/1.1 103 Early Hints\r\n\r\n" + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfinal")) {
+            PlainResponse response = call.result().get();
+            assertEquals(response.status(), 200);
+            assertEquals(new String(response.body(), StandardCharsets.US_ASCII), "final");
+        }
+    }
 }
