Do not take the failure of a write for the end of a response

What a caller would see: the last chunk, or a whole-looking body, of a response that a reset interrupted.

Cause: if a server begins to respond before it has read a long request and then resets the connection, the write fails first. The transport then closes the connection and reports the failure to the writer only, so that the response of no stated length seemed to end in order. Class of fault: the absence of an error was taken for the end.

Change: the failure of a write is recorded like an error of the connection.

Evidence: responseWithoutLengthIsNotCompletedByAFailedWrite failed before ("expected [BROKEN_ANSWER] but found [complete]") and passes now, as do InterruptedResponseTest, PlainForwardingTest, GenerationForwardingTest and EndlessResponseTest. It needs a request larger than the buffers of the connection; the test's has 64 MiB.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -50,9 +50,13 @@
         return isOwn || statedId != null;
     }
 
-    void write(Channel open, FullHttpRequest request) {
+    void write(Channel open, FullHttpRequest request, BackendHandler handler) {
         channel = open;
-        open.writeAndFlush(request);
+        open.writeAndFlush(request).addListener(written -> {
+            if (!written.isSuccess()) {
+                handler.onWriteFailure(written.cause());
+            }
+        });
     }
 
     void failAfter(EventLoop loop, int timeoutMs) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -104,8 +104,7 @@
         BackendCall call = new BackendCall(this, backend, listener, dialect.requestId(request.headers()), isOwn);
         Channel idle = takeIdle(isOwn ? backend.idleOwnConnections : backend.idleConnections, call);
         if (idle != null) {
-            idle.pipeline().get(BackendHandler.class).start(call);
-            call.write(idle, request);
+            start(call, idle, request);
             return call;
         }
         ChannelFuture connecting = bootstrap.connect(backend.entry().address());
@@ -117,13 +116,18 @@
                 request.release();
                 connecting.channel().close();
             } else {
-                connecting.channel().pipeline().get(BackendHandler.class).start(call);
-                call.write(connecting.channel(), request);
+                start(call, connecting.channel(), request);
             }
         });
         return call;
     }
 
+    private static void start(BackendCall call, Channel channel, FullHttpRequest request) {
+        BackendHandler handler = channel.pipeline().get(BackendHandler.class);
+        handler.start(call);
+        call.write(channel, request, handler);
+    }
+
     /**
      * Sends the request of a caller, which is abandoned if no complete response arrives within the timeout in
      * milliseconds.
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -207,6 +207,11 @@
         }
     }
 
+    /** Records why the transport closes the connection; it reports the failure of a write to the writer only. */
+    void onWriteFailure(Throwable cause) {
+        error = cause;
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // The connection is closed next; channelInactive reports the error to the call.
