Do not take the failure of a write for the end of an engine's response

What callers of an ordinary service would see: a 200 with the first part of the body.

Class of fault: the absence of an error was taken for the end.

Change: a failed write counts as a close by this process, after which a response of no stated length is interrupted.

Evidence: InterruptedEngineResponseTest#responseWithoutLengthIsNotCompletedByAFailedWrite failed before ("Expected Exception to be thrown, but nothing was thrown") and passes now, alone with StatusConnectionTest.

--- a/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
+++ b/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
@@ -87,7 +87,12 @@
         ChannelFuture connecting = bootstrap.connect(address);
         connecting.addListener(done -> {
             if (done.isSuccess()) {
-                connecting.channel().writeAndFlush(request);
+                connecting.channel().writeAndFlush(request).addListener(written -> {
+                    if (!written.isSuccess()) {
+                        // The transport closes the connection and reports the failure to the writer only.
+                        exchange.isClosedHere = true;
+                    }
+                });
                 return;
             }
             request.release();
--- a/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
+++ b/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
@@ -132,4 +132,15 @@
             assertEquals(new String(response.body(), StandardCharsets.US_ASCII), "final");
         }
     }
+
+    /** The engine begins to respond, reads only a part of the request, and resets the connection. */
+    @Test
+    public void responseWithoutLengthIsNotCompletedByAFailedWrite() throws Exception {
+        EngineCall<PlainResponse> call = client.callPlain(new PlainRequest("POST", "/", List.of(), new byte[16 << 20]));
+        try (Socket connection = respond(UNFRAMED + "the first half")) {
+            Thread.sleep(50);
+            connection.setSoLinger(true, 0);
+        }
+        assertInterrupted(call.result());
+    }
 }
