--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/FailedWriteTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/FailedWriteTest.java
@@ -55,8 +55,10 @@
     public void responseWithoutLengthIsNotCompletedByAFailedWrite() throws Exception {
         EventLoop loop = loops.next();
         BackendTable table = BackendTable.create(System::nanoTime);
-        Dialect dialect =
-                ServiceLoader.load(ForwardingAdapter.class).findFirst().orElseThrow().dialect();
+        Dialect dialect = ServiceLoader.load(ForwardingAdapter.class)
+                .findFirst()
+                .orElseThrow()
+                .dialect();
         BackendConnections connections = BackendConnections.create(loop, System::nanoTime, dialect);
         try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
             BackendEntry entry = new BackendEntry(
