Do not clear suspect prompt parts at an error response

What callers saw: with a backend server that fails requests beside a prompt part that crashes servers, further servers crash, since the part is not refused.

Cause: the first byte of any response cleared the parts of its prompt from all known crashes, also that of an error. A server that fails a request has not begun an answer, and a cleared part stays cleared at every process.

Evidence: errorResponsesDoNotClearThePartsOfTheirPrompt failed before with "crashed servers expected [3] but found [5]".

Why this works: only a response with status 200 shows that a server can answer the prompt; these are also the only ones whose interruption counts as a crash.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -187,7 +187,9 @@
         private void onFirstByte() {
             started.isPrefillDone = true;
             started.backend.onPrefillDone(started.promptTokens);
-            services.crashes().onAnswerBegun(request.fields().promptParts());
+            if (status == ResponseChecks.OK) {
+                services.crashes().onAnswerBegun(request.fields().promptParts());
+            }
             services.metrics()
                     .onFirstByte(admitted.teamName(), services.nanoTime().getAsLong() - request.arrivalNanos());
         }
