--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -137,10 +137,13 @@
         }
     }
 
-    /** Returns whether the prompt is likely to crash its server; the answer stays the same once a trial has started. */
+    /**
+     * Returns whether the prompt is likely to crash its server; it is not once a trial has started or an answer to it
+     * has begun.
+     */
     private boolean isBlocked() {
         List<String> parts = request.fields().promptParts();
-        if (isTrial || !services.crashes().isBlocked(parts)) {
+        if (isTrial || run.relay().hasStarted() || !services.crashes().isBlocked(parts)) {
             return false;
         }
         isTrial = services.crashes().startTrial(parts);
