Do not refuse the sound prompts that share a part at crashed servers

What callers saw: sound prompts with one first part are refused for 30 s or more if each of three crashed servers had also begun to answer one of them (LOST).

Cause: after the part that crashes servers had been found, the other prompts at the same servers counted as further crashes, and what these have in common as a second cause.

Evidence: soundPromptsAtEachCrashedServerDoNotBlockTheirCommonPart failed before with "expected [false] but found [true]" for a prompt without the cause.

Why this works: a server ends once, so its crash has one cause; a part that does crash servers has crashes at servers without the first cause, too.

--- a/src/main/java/io/chivehollow/coordination/crash/CrashSignature.java
+++ b/src/main/java/io/chivehollow/coordination/crash/CrashSignature.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
@@ -26,7 +27,8 @@
     static final int MIN_SERVERS = 3;
 
     /**
-     * Finds the signatures of the crashes, each of which belongs to one signature at most.
+     * Finds the signatures of the crashes. Each server ends for the reason of one signature at most; other prompts that
+     * it had begun to answer need no cause of their own.
      *
      * <p>The part of the crashes of most servers comes first; of parts with equally many servers, the one of fewer
      * prompts, which others have only beside it.
@@ -36,7 +38,8 @@
         List<ServerCrash> unexplained = new ArrayList<>(crashes);
         for (Optional<CrashSignature> next = strongest(unexplained); next.isPresent(); next = strongest(unexplained)) {
             signatures.add(next.get());
-            unexplained.removeAll(next.get().crashes());
+            Set<String> explainedServers = serverIds(next.get().crashes());
+            unexplained.removeIf(crash -> explainedServers.contains(crash.key().backendServer()));
         }
         return signatures.build();
     }
@@ -61,11 +64,12 @@
         return Optional.of(new CrashSignature(ImmutableSet.copyOf(common), ImmutableList.copyOf(best)));
     }
 
+    private static Set<String> serverIds(List<ServerCrash> crashes) {
+        return crashes.stream().map(crash -> crash.key().backendServer()).collect(Collectors.toSet());
+    }
+
     private static int servers(List<ServerCrash> crashes) {
-        return (int) crashes.stream()
-                .map(crash -> crash.key().backendServer())
-                .distinct()
-                .count();
+        return serverIds(crashes).size();
     }
 
     int servers() {
--- a/src/test/java/io/chivehollow/coordination/crash/CrashLedgerTest.java
+++ b/src/test/java/io/chivehollow/coordination/crash/CrashLedgerTest.java
@@ -158,4 +158,14 @@
         }
         assertEquals(ledger.toMessages().size(), 64);
     }
+
+    @Test
+    public void soundPromptsAtEachCrashedServerDoNotBlockTheirCommonPart() {
+        for (int i = 0; i < 4; i++) {
+            ledger.add("server" + i, List.of("first", "dead", "own" + i));
+            ledger.add("server" + i, List.of("first", "sound" + i));
+        }
+        assertTrue(ledger.isBlocked(List.of("first", "dead", "new")));
+        assertFalse(ledger.isBlocked(SOUND));
+    }
 }
