Choose the same signature at every process that knows the same crashes

What callers saw: a prompt is refused by one process and sent by another, so that prompts go on crashing servers through the second one.

Cause: among parts that explain equally many crashes, the choice followed the order of a hash map, which for ids in one bucket is the order in which the process learnt of the crashes.

Evidence: ledgersWithTheSameCrashesBlockTheSamePrompts failed before with "part Aa expected [true] but found [false]" at equal digests.

Why this works: the parts are compared in their own order, which is the same everywhere.

--- a/src/main/java/io/chivehollow/coordination/crash/CrashSignature.java
+++ b/src/main/java/io/chivehollow/coordination/crash/CrashSignature.java
@@ -2,12 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 
 import com.google.common.collect.ImmutableList;
@@ -45,7 +45,8 @@
     }
 
     private static Optional<CrashSignature> strongest(List<ServerCrash> crashes) {
-        Map<String, List<ServerCrash>> byPart = new HashMap<>();
+        // Sorted, so that all processes make the same choice among equals.
+        Map<String, List<ServerCrash>> byPart = new TreeMap<>();
         crashes.forEach(
                 crash -> crash.suspectParts().forEach(part -> byPart.computeIfAbsent(part, id -> new ArrayList<>())
                         .add(crash)));
--- a/src/test/java/io/chivehollow/coordination/crash/CrashLedgerTest.java
+++ b/src/test/java/io/chivehollow/coordination/crash/CrashLedgerTest.java
@@ -1,8 +1,11 @@
 package io.chivehollow.coordination.crash;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import io.chivehollow.protocol.wire.PromptCrash;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -168,4 +171,23 @@
         assertTrue(ledger.isBlocked(List.of("first", "dead", "new")));
         assertFalse(ledger.isBlocked(SOUND));
     }
+
+    /** The ids have the same hash code, so that the order in a hash map is that of their insertion. */
+    @Test
+    public void ledgersWithTheSameCrashesBlockTheSamePrompts() {
+        String[] ids = {"Aa", "BB"};
+        for (String part : ids) {
+            for (int i = 0; i < 2; i++) {
+                ledger.add(part + i, List.of(part, "own" + i));
+            }
+        }
+        ledger.add("both", List.of("Aa", "BB", "own"));
+        List<PromptCrash> messages = new ArrayList<>(ledger.toMessages());
+        Collections.rotate(messages, 3);
+        other.merge(messages);
+        assertEquals(ledger.digest(), other.digest());
+        for (String part : ids) {
+            assertEquals(ledger.isBlocked(List.of(part, "new")), other.isBlocked(List.of(part, "new")), "part " + part);
+        }
+    }
 }
