Clear the parts of answers that begin before a crash is known

What callers saw: after three servers have ended at the same moment for another reason, prompts with the first part that their requests had in common are refused until the first trial 30 s later, although such answers have begun everywhere else in between.

Cause: a begun answer cleared only crashes that the process knew. A process learns of a crash up to a second later; from then on it refuses the prompts, so that no further answer can clear them.

Evidence: answerBegunBeforeTheCrashIsKnownClearsItsParts failed before with "expected [false] but found [true]". answerBegunBeforeTheCrashClearsNothing passed before and guards the other side.

Why this works: the ledger remembers for 10 s when an answer with a part began, and applies that to crashes it learns of. The age of a crash in a message only leaves out the time on the way, so that an answer from before the crash is never taken for a later one.

--- a/src/main/java/io/chivehollow/coordination/crash/CrashLedger.java
+++ b/src/main/java/io/chivehollow/coordination/crash/CrashLedger.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import io.chivehollow.protocol.wire.PromptCrash;
@@ -19,10 +21,11 @@
 /**
  * The crashes of backend servers that began an answer, and the prompts that are refused because of them.
  *
- * <p>A part of a prompt is suspect after a crash until an answer with it has begun. Prompts are refused that have all
- * parts of a {@link CrashSignature}. After a pause that doubles with each further crash, the witness of the last crash
- * lets one of them through, so that a part that no longer crashes servers is found out. Ledgers exchange their crashes
- * and have the same ones after that, in whatever order: a merge keeps the suspect parts that both have.
+ * <p>A part of a prompt is suspect after a crash until an answer with it has begun, also if the ledger learns of the
+ * crash only after that answer. Prompts are refused that have all parts of a {@link CrashSignature}. After a pause that
+ * doubles with each further crash, the witness of the last crash lets one of them through, so that a part that no longer
+ * crashes servers is found out. Ledgers exchange their crashes and have the same ones after that, in whatever order: a
+ * merge keeps the suspect parts that both have.
  *
  * <p>Invariant: crashes are forgotten after {@link #RETENTION_NANOS}, and the oldest ones if there are more than
  * {@link #MAX_CRASHES}. Thread-safe; guarded by its own lock.
@@ -34,6 +37,11 @@
     /** Bounds the memory and the size of a message, which has about 100 bytes for each crash. */
     private static final int MAX_CRASHES = 64;
 
+    /** Time for which begun answers are remembered; crashes become known to all processes within about a second. */
+    private static final long BEGUN_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private static final int MAX_BEGUN_PARTS = 4_096;
+
     private static final long FIRST_TRIAL_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     /** Limits the doubling of the pause to 8 minutes, less than the retention. */
@@ -43,6 +51,10 @@
     private final LongSupplier nanoTime;
     private final Map<ServerCrash.Key, ServerCrash> crashes = new LinkedHashMap<>();
     private final Map<ImmutableSet<String>, Long> trialNanos = new HashMap<>();
+
+    /** Last time at which an answer with a part has begun, in the order of these times. */
+    private final Map<String, Long> begunNanos = new LinkedHashMap<>();
+
     private ImmutableList<CrashSignature> signatures = ImmutableList.of();
     private volatile Runnable changeListener = () -> {};
 
@@ -94,6 +106,7 @@
     }
 
     private synchronized boolean clear(List<String> promptParts) {
+        rememberBegun(promptParts);
         boolean isChanged = false;
         for (ServerCrash crash : List.copyOf(crashes.values())) {
             ServerCrash cleared = crash.without(promptParts);
@@ -108,6 +121,18 @@
         return isChanged;
     }
 
+    private void rememberBegun(List<String> promptParts) {
+        long now = nanoTime.getAsLong();
+        for (String part : promptParts) {
+            begunNanos.remove(part);
+            begunNanos.put(part, now);
+        }
+        Iterator<Long> oldest = begunNanos.values().iterator();
+        while (oldest.hasNext() && (now - oldest.next() > BEGUN_NANOS || begunNanos.size() > MAX_BEGUN_PARTS)) {
+            oldest.remove();
+        }
+    }
+
     /** Returns whether prompts with these parts are refused. */
     public synchronized boolean isBlocked(List<String> promptParts) {
         if (signatures.isEmpty()) {
@@ -192,7 +217,11 @@
     }
 
     private void put(ServerCrash crash) {
-        crashes.merge(crash.key(), crash, ServerCrash::merge);
+        ServerCrash merged = crashes.merge(crash.key(), crash, ServerCrash::merge);
+        crashes.put(merged.key(), merged.without(Sets.filter(merged.suspectParts(), part -> {
+            Long begun = begunNanos.get(part);
+            return begun != null && begun - merged.timeNanos() > 0;
+        })));
     }
 
     private void removeExpired() {
--- a/src/test/java/io/chivehollow/coordination/crash/CrashLedgerTest.java
+++ b/src/test/java/io/chivehollow/coordination/crash/CrashLedgerTest.java
@@ -190,4 +190,30 @@
             assertEquals(ledger.isBlocked(List.of(part, "new")), other.isBlocked(List.of(part, "new")), "part " + part);
         }
     }
+
+    /** Another process learns of a crash up to a second later, and may have begun answers in between. */
+    @Test
+    public void answerBegunBeforeTheCrashIsKnownClearsItsParts() {
+        for (int i = 0; i < 3; i++) {
+            ledger.add("server" + i, List.of("first", "own" + i));
+        }
+        pass(10);
+        other.onAnswerBegun(SOUND);
+        pass(500);
+        other.merge(ledger.toMessages());
+        assertFalse(other.isBlocked(SOUND));
+        ledger.merge(other.toMessages());
+        assertFalse(ledger.isBlocked(SOUND));
+    }
+
+    @Test
+    public void answerBegunBeforeTheCrashClearsNothing() {
+        other.onAnswerBegun(SOUND);
+        pass(10);
+        for (int i = 0; i < 3; i++) {
+            ledger.add("server" + i, List.of("first", "own" + i));
+        }
+        other.merge(ledger.toMessages());
+        assertTrue(other.isBlocked(SOUND));
+    }
 }
