--- a/src/main/java/io/chivehollow/coordination/crash/CrashLedger.java
+++ b/src/main/java/io/chivehollow/coordination/crash/CrashLedger.java
@@ -23,9 +23,9 @@
  *
  * <p>A part of a prompt is suspect after a crash until an answer with it has begun, also if the ledger learns of the
  * crash only after that answer. Prompts are refused that have all parts of a {@link CrashSignature}. After a pause that
- * doubles with each further crash, the witness of the last crash lets one of them through, so that a part that no longer
- * crashes servers is found out. Ledgers exchange their crashes and have the same ones after that, in whatever order: a
- * merge keeps the suspect parts that both have.
+ * doubles with each further crash, the witness of the last crash lets one of them through, so that a part that no
+ * longer crashes servers is found out. Ledgers exchange their crashes and have the same ones after that, in whatever
+ * order: a merge keeps the suspect parts that both have.
  *
  * <p>Invariant: crashes are forgotten after {@link #RETENTION_NANOS}, and the oldest ones if there are more than
  * {@link #MAX_CRASHES}. Thread-safe; guarded by its own lock.
