Do not refuse more prompts because of one unrelated crash

What callers saw: sound prompts are refused that share the first part with those that crash servers, after one further server ended for another reason (LOST).

Cause: the part of the crashes of most servers was taken as the cause. The crash of one more server with a sound prompt gave the common first part one server more than the part that crashes them.

Evidence: unrelatedCrashOfAFurtherServerDoesNotWidenTheBlockedPrompts failed before with "expected [false] but found [true]"; the existing test had the unrelated crash at a server that had been counted.

Why this works: if all but one server are explained by a narrower set of parts, that set is taken. A second crash without it widens the signature as before

(secondCrashWithoutAPartExcludesThatPartAsTheCause).

--- a/src/main/java/io/chivehollow/coordination/crash/CrashSignature.java
+++ b/src/main/java/io/chivehollow/coordination/crash/CrashSignature.java
@@ -31,7 +31,8 @@
      * it had begun to answer need no cause of their own.
      *
      * <p>The part of the crashes of most servers comes first; of parts with equally many servers, the one of fewer
-     * prompts, which others have only beside it.
+     * prompts, which others have only beside it. A single crash without a part of all others may have another reason
+     * and does not exclude that part; a second one does.
      */
     static ImmutableList<CrashSignature> of(Collection<ServerCrash> crashes) {
         ImmutableList.Builder<CrashSignature> signatures = ImmutableList.builder();
@@ -60,9 +61,27 @@
         if (servers(best) < MIN_SERVERS) {
             return Optional.empty();
         }
-        Set<String> common = new HashSet<>(best.get(0).suspectParts());
-        best.forEach(crash -> common.retainAll(crash.suspectParts()));
-        return Optional.of(new CrashSignature(ImmutableSet.copyOf(common), ImmutableList.copyOf(best)));
+        return Optional.of(ofCommonParts(narrowest(best, byPart.values())));
+    }
+
+    /** Returns the crashes without a single one that does not have a part of all others. */
+    private static List<ServerCrash> narrowest(List<ServerCrash> crashes, Collection<List<ServerCrash>> candidates) {
+        int minServers = Math.max(MIN_SERVERS, servers(crashes) - 1);
+        List<ServerCrash> narrowest = crashes;
+        for (List<ServerCrash> candidate : candidates) {
+            if (candidate.size() < narrowest.size()
+                    && servers(candidate) >= minServers
+                    && crashes.containsAll(candidate)) {
+                narrowest = candidate;
+            }
+        }
+        return narrowest;
+    }
+
+    private static CrashSignature ofCommonParts(List<ServerCrash> crashes) {
+        Set<String> common = new HashSet<>(crashes.get(0).suspectParts());
+        crashes.forEach(crash -> common.retainAll(crash.suspectParts()));
+        return new CrashSignature(ImmutableSet.copyOf(common), ImmutableList.copyOf(crashes));
     }
 
     private static Set<String> serverIds(List<ServerCrash> crashes) {
--- a/src/test/java/io/chivehollow/coordination/crash/CrashLedgerTest.java
+++ b/src/test/java/io/chivehollow/coordination/crash/CrashLedgerTest.java
@@ -216,4 +216,20 @@
         other.merge(ledger.toMessages());
         assertTrue(other.isBlocked(SOUND));
     }
+
+    @Test
+    public void unrelatedCrashOfAFurtherServerDoesNotWidenTheBlockedPrompts() {
+        crash(ledger, 0, 3);
+        ledger.add("other", SOUND);
+        assertTrue(ledger.isBlocked(List.of("first", "dead", "new")));
+        assertFalse(ledger.isBlocked(SOUND));
+    }
+
+    @Test
+    public void secondCrashWithoutAPartExcludesThatPartAsTheCause() {
+        crash(ledger, 0, 3);
+        ledger.add("server3", List.of("other", "dead", "own3"));
+        ledger.add("server4", List.of("other", "dead", "own4"));
+        assertTrue(ledger.isBlocked(List.of("new", "dead", "own")));
+    }
 }
