Do not reuse the address of a replica in the test of shared crashes

The next leader is now a replica of its own, which has seen nothing before; what is checked stays the same.

--- a/src/test/java/io/chivehollow/coordination/replica/CrashReporterTest.java
+++ b/src/test/java/io/chivehollow/coordination/replica/CrashReporterTest.java
@@ -1,5 +1,6 @@
 package io.chivehollow.coordination.replica;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -16,7 +17,8 @@
 /** Guards against crashes of backend servers that only the process knows which saw them. */
 public class CrashReporterTest {
 
-    private static final InstanceId REPLICA = InstanceId.of("replica-0");
+    private static final InstanceId FIRST_LEADER = InstanceId.of("replica-0");
+    private static final InstanceId NEXT_LEADER = InstanceId.of("replica-1");
     private static final List<String> PROMPT = List.of("first", "dead", "new");
 
     /** Time in ms in which every process has to know what another one has seen. */
@@ -24,28 +26,35 @@
 
     private final Clock clock = Clock.system();
     private final CrashLedger one = CrashLedger.create("one", clock::nanoTime);
+    private final List<FakeReplicatedLog> logs = new ArrayList<>();
+    private final List<AutoCloseable> replicas = new ArrayList<>();
     private LoopbackCluster cluster;
-    private AutoCloseable replica;
 
     @BeforeMethod
     public void start() {
         cluster = new LoopbackCluster();
-        replica = startLeader();
+        logs.clear();
+        replicas.clear();
+        for (InstanceId id : List.of(FIRST_LEADER, NEXT_LEADER)) {
+            ControlState state = ControlState.create();
+            FakeReplicatedLog log = new FakeReplicatedLog(id, state);
+            logs.add(log);
+            replicas.add(cluster.serve(id, log, state));
+        }
+        appoint(FIRST_LEADER);
         cluster.startClient();
     }
 
     @AfterMethod(alwaysRun = true)
     public void stop() throws Exception {
-        replica.close();
+        for (AutoCloseable replica : replicas) {
+            replica.close();
+        }
         cluster.close();
     }
 
-    private AutoCloseable startLeader() {
-        ControlState state = ControlState.create();
-        FakeReplicatedLog log = new FakeReplicatedLog(REPLICA, state);
-        AutoCloseable started = cluster.serve(REPLICA, log, state);
-        log.appoint(REPLICA, clock.nanoTime());
-        return started;
+    private void appoint(InstanceId leader) {
+        logs.forEach(log -> log.appoint(leader, clock.nanoTime()));
     }
 
     private static void awaitBlocked(CrashLedger ledger) throws InterruptedException {
@@ -68,8 +77,7 @@
             two.add("server3", List.of("second", "dead", "own3"));
             awaitBlocked(one);
             awaitBlocked(two);
-            replica.close();
-            replica = startLeader();
+            appoint(NEXT_LEADER);
             try (CrashReporter third = CrashReporter.start(three, cluster.client, cluster.scheduler)) {
                 awaitBlocked(three);
             }
