Keep the decoder of a connection and close it if bytes were left over

The decoder of a connection now tells whether it holds bytes of which it has made no message; the connection is then closed instead of kept. It learns the method of each request, which HttpClientCodec kept in a queue.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -18,7 +18,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -56,10 +56,6 @@
     /** Time in milliseconds in which the system closes the port of a crashed server after its first connection. */
     private static final int CRASH_MS = 20;
 
-    private static final int MAX_LINE_BYTES = 4_096;
-    private static final int MAX_HEADER_BYTES = 16_384;
-    private static final int MAX_CHUNK_BYTES = 16_384;
-
     private final EventLoop loop;
     private final LongSupplier nanoTime;
     private final Dialect dialect;
@@ -77,10 +73,12 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        BackendHandler handler = new BackendHandler(dialect);
+                        ResponseDecoder decoder = new ResponseDecoder();
+                        BackendHandler handler = new BackendHandler(dialect, decoder);
                         channel.pipeline()
                                 .addLast(new ReceivedBytes(handler))
-                                .addLast(newCodec())
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(decoder)
                                 .addLast(handler);
                     }
                 });
@@ -91,10 +89,6 @@
         return new BackendConnections(loop, nanoTime, dialect);
     }
 
-    static HttpClientCodec newCodec() {
-        return new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
-    }
-
     /** Sends the request of a caller, which is released; the returned call can be cancelled. */
     public BackendCall send(Backend backend, FullHttpRequest request, BackendListener listener) {
         return send(backend, request, listener, false);
@@ -124,7 +118,7 @@
 
     private static void start(BackendCall call, Channel channel, FullHttpRequest request) {
         BackendHandler handler = channel.pipeline().get(BackendHandler.class);
-        handler.start(call);
+        handler.start(call, request.method());
         call.write(channel, request, handler);
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -4,8 +4,8 @@
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -35,6 +35,7 @@
     private static final int FRAMING_PER_BODY_BYTE = 6;
 
     private final Dialect dialect;
+    private final ResponseDecoder decoder;
     private final UnsuccessfulRequests unsuccessful = new UnsuccessfulRequests();
     private @Nullable BackendCall call;
     private @Nullable BackendCall completed;
@@ -46,12 +47,14 @@
     private boolean isKeepAlive;
     private @Nullable Throwable error;
 
-    BackendHandler(Dialect dialect) {
+    BackendHandler(Dialect dialect, ResponseDecoder decoder) {
         this.dialect = dialect;
+        this.decoder = decoder;
     }
 
-    void start(BackendCall started) {
+    void start(BackendCall started, HttpMethod method) {
         call = started;
+        decoder.start(method);
         hasHead = false;
         isInterim = false;
         receivedBytes = 0;
@@ -166,22 +169,14 @@
     /** Ends a call once all that was read with its response is decoded, so that bytes after it close the connection. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (completed != null && isKeepAlive) {
-            renewCodec(context);
+        if (completed != null && decoder.hasUndecodedBytes()) {
+            // They belong to no request, and the next response would begin with them.
+            isKeepAlive = false;
         }
         complete();
         context.fireChannelReadComplete();
     }
 
-    /**
-     * Replaces the codec by one that has received nothing. The old one passes on the bytes that it has not decoded, for
-     * instance an incomplete head, with which the next response would begin.
-     */
-    private static void renewCodec(ChannelHandlerContext context) {
-        context.pipeline().remove(HttpClientCodec.class);
-        context.pipeline().addBefore(context.name(), null, BackendConnections.newCodec());
-    }
-
     private void complete() {
         BackendCall ended = completed;
         completed = null;
