Ask the next leader for the known crashes without a pause

What callers could see: for up to three seconds after a change of the leader, prompts that crash servers are refused by the processes that saw the crashes only.

Cause: a process whose message met no leader waited a whole period, and a new process waited one before its first message, so that up to three periods passed until the next leader had the crashes and passed them on.

--- a/src/main/java/io/chivehollow/coordination/replica/CrashReporter.java
+++ b/src/main/java/io/chivehollow/coordination/replica/CrashReporter.java
@@ -45,7 +45,7 @@
     public static CrashReporter start(CrashLedger ledger, ControlClient client, Scheduler scheduler) {
         CrashReporter reporter = new CrashReporter(ledger, client, scheduler);
         ledger.setChangeListener(reporter::onChange);
-        reporter.schedule(PERIOD_MS);
+        reporter.schedule(0);
         return reporter;
     }
 
@@ -92,7 +92,7 @@
         isAwaitingResponse = false;
         if (response == null || !response.hasSharedCrashes()) {
             LOG.debugf("The leader did not take the known crashes of backend servers: %s", failure);
-            schedule(ledger.digest() == leaderDigest ? PERIOD_MS : RETRY_DELAY_MS);
+            schedule(RETRY_DELAY_MS);
             return;
         }
         ledger.merge(response.getSharedCrashes().getCrashesList());
