Review case 1: without its last API key a deployment takes any request

The operator takes the keys of all tenants away; the configuration still contains the tenants. Requests with the revoked key and with a key of no configuration run on all machines, without X-Tenant, 6 s after the acknowledgement. Cause: RouteTable.hasTeams() is false when no tenant has a key.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# The last API key is taken away. TROUBLE=0: one key stays.
+set -euo pipefail
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.."
+exec java -Xmx128m -XX:+UseSerialGC -cp target/review LastKey "$here"
