--- a/review/standin/Lab.java
+++ b/review/Lab.java
@@ -51,10 +51,10 @@
     private final InetSocketAddress listAddress;
     private final List<String> seeds = new ArrayList<>();
 
-    /** Creates a deployment whose record is written to the given folder of the case. */
+    /** Creates a deployment whose record is written to the given folder; must run in the root of the project. */
     Lab(String caseFolder) throws IOException {
         Path folder = Path.of(caseFolder).toAbsolutePath();
-        root = folder.getParent().getParent();
+        root = Path.of("").toAbsolutePath();
         record = folder.resolve("record.txt");
         Files.writeString(record, "");
         temporary = Files.createTempDirectory("review-");
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac -nowarn -d target/review review/standin/*.java
+javac -nowarn -d target/review review/*.java
