Require API keys also if no team has one

Cause: Admission skipped the check of the key if RouteTable had no key, so that "no key is valid" and "keys are not used" were one state.

Evidence: in the case's record the requests with a withdrawn key run without the name of a team, so that neither an old copy of the configuration nor an old table of keys explains them.

Why this works: the deployment now states whether it uses API keys, by the presence of the section in the operator's document. The table of keys only says which keys are valid. Deployments stored by earlier versions use keys if they have a team.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -20,10 +20,11 @@
 /**
  * Decides whether a request matches a route and which team it is accounted to.
  *
- * <p>Invariant: a request with an API key is admitted only by a configuration that is proven to be fresh, so that a
- * withdrawn key also stops working at an instance that has lost contact with the replicas. While the configuration is
- * not fresh, a request that it would refuse is refused with a retry time, because the configuration may be out of
- * date. Used on the event loop of the forwarding role only.
+ * <p>Invariants: a request runs without an API key only on an open route or if the deployment does not use API keys. A
+ * request with an API key is admitted only by a configuration that is proven to be fresh, so that a withdrawn key also
+ * stops working at an instance that has lost contact with the replicas. While the configuration is not fresh, a request
+ * that it would refuse is refused with a retry time, because the configuration may be out of date. Used on the event
+ * loop of the forwarding role only.
  */
 public final class Admission {
 
@@ -116,7 +117,7 @@
             return Optional.empty();
         }
         String service = RouteTable.selectService(route.get(), random.nextDouble());
-        if (route.get().getOpen() || !routes.get().hasTeams()) {
+        if (route.get().getOpen() || !routes.get().requiresApiKeys()) {
             return Optional.of(new AdmittedRequest(
                     routes.get().revision(), route.get(), service, serviceTimes(routes.get(), service), null));
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/route/RouteTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/route/RouteTable.java
@@ -23,6 +23,7 @@
     private final Map<String, Map<String, ForwardRoute>> byHost = new HashMap<>();
     private final Map<String, ForwardService> services = new HashMap<>();
     private final Map<String, TeamAccess> teamByKey = new HashMap<>();
+    private final boolean requiresApiKeys;
     private final ForwardLimits limits;
     private final long revision;
 
@@ -37,6 +38,8 @@
         for (TeamAccess team : deployment.getTeamsList()) {
             team.getApiKeysList().forEach(key -> teamByKey.put(key, team));
         }
+        // Deployments stored by earlier versions do not have the field.
+        this.requiresApiKeys = deployment.getRequiresApiKeys() || deployment.getTeamsCount() > 0;
         this.limits = deployment.getLimits();
         this.revision = deployment.getRevision();
     }
@@ -77,9 +80,11 @@
         return Optional.ofNullable(services.get(id));
     }
 
-    /** Returns whether the deployment contains any API keys. */
-    public boolean hasTeams() {
-        return !teamByKey.isEmpty();
+    /**
+     * Returns whether routes that are not open require an API key. If no team has a key, they match no caller.
+     */
+    public boolean requiresApiKeys() {
+        return requiresApiKeys;
     }
 
     /** Returns the limits of callers' requests. */
