Do not let a delayed request undo a later change of a failure domain

Cause: a request to change a failure domain has no number and no time. An instance that had been stopped ran the one that it had not read, although the operator had got it acknowledged elsewhere, and the state machine applied whatever reached it, however late.

Evidence: the log of the stopped instance has "Failure domain zone-a is now in service" about 60 ms after it went on; that is the last such line of all instances.

Why this works: the command carries the version in which the failure domains changed last. It is read from the leader, and only then the caller must still be waiting: its connection is open, and the request cannot have been unread for longer than callers wait. A later request of the same caller can therefore only change that version, and the state machine refuses the command, wherever it was delayed: at the instance, on the way to the leader, in its queue or in the log until the next leader.

--- a/src/main/java/io/chivehollow/base/ErrorCode.java
+++ b/src/main/java/io/chivehollow/base/ErrorCode.java
@@ -34,6 +34,9 @@
     /** Another release note was accepted with this release number. */
     NUMBER_TAKEN(409),
 
+    /** The state has changed since the version on which the command is based. */
+    STATE_CHANGED(409),
+
     /** Another change of the members of the replica group has not finished. */
     CHANGE_IN_PROGRESS(409),
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/Endpoint.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/Endpoint.java
@@ -1,6 +1,7 @@
 package io.chivehollow.coordination.forwarding;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.chivehollow.base.ErrorCode;
@@ -10,6 +11,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -17,6 +19,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -42,6 +45,12 @@
     /** Longer than the time between two requests of a load balancer or an operator on one connection. */
     private static final int IDLE_TIMEOUT_S = 60;
 
+    /** Callers send the request to another instance after a second without a response. */
+    private static final long CALLER_PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** More reads than a request and the end of its connection take; larger bodies are read in several rounds. */
+    private static final int MAX_READS = 16;
+
     private static final Logger LOG = Logger.getLogger(Endpoint.class);
 
     private final Channel serverChannel;
@@ -50,14 +59,22 @@
         this.serverChannel = serverChannel;
     }
 
-    /** Starts to listen at the address; requests with a body larger than the given size are refused with status 413. */
+    /**
+     * Starts to listen at the address; requests with a body larger than the given size are refused with status 413.
+     * The input delay must be that of the event loops.
+     */
     static Endpoint start(
-            InetSocketAddress address, EventLoopGroup eventLoops, int maxBodyBytes, EndpointHandler handler) {
+            InetSocketAddress address,
+            EventLoopGroup eventLoops,
+            InputDelay inputDelay,
+            int maxBodyBytes,
+            EndpointHandler handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(eventLoops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -66,7 +83,7 @@
                                 .addLast(new HttpServerCodec())
                                 .addLast(new HttpServerKeepAliveHandler())
                                 .addLast(new HttpObjectAggregator(maxBodyBytes))
-                                .addLast(new Handler(handler));
+                                .addLast(new Handler(handler, inputDelay));
                     }
                 });
         try {
@@ -77,6 +94,13 @@
         }
     }
 
+    /** Reads all input that has arrived, so that a caller that has closed is noticed together with its request. */
+    private static RecvByteBufAllocator readToTheEnd() {
+        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
+        allocator.maxMessagesPerRead(MAX_READS);
+        return allocator.respectMaybeMoreData(false);
+    }
+
     @Override
     public void close() {
         serverChannel.close();
@@ -86,9 +110,11 @@
     private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
         private final EndpointHandler handler;
+        private final InputDelay inputDelay;
 
-        Handler(EndpointHandler handler) {
+        Handler(EndpointHandler handler, InputDelay inputDelay) {
             this.handler = handler;
+            this.inputDelay = inputDelay;
         }
 
         @Override
@@ -100,8 +126,13 @@
             }
             int query = request.uri().indexOf('?');
             String path = query < 0 ? request.uri() : request.uri().substring(0, query);
-            EndpointHandler.Request received =
-                    new EndpointHandler.Request(request.method().name(), path, ByteBufUtil.getBytes(request.content()));
+            EndpointHandler.Request received = new EndpointHandler.Request(
+                    request.method().name(),
+                    path,
+                    ByteBufUtil.getBytes(request.content()),
+                    new ConnectedCaller(
+                            context.channel(),
+                            inputDelay.earliestArrivalNanos(context.channel().eventLoop())));
             handler.handle(received).whenComplete((response, failure) -> {
                 if (failure != null) {
                     LOG.errorf(failure, "%s %s failed and gets a response with status 500", received.method(), path);
@@ -129,4 +160,21 @@
             context.close();
         }
     }
+
+    /**
+     * The caller at the other end of a connection.
+     *
+     * @param channel the connection
+     * @param earliestArrivalNanos earliest time at which the request can have arrived
+     */
+    private record ConnectedCaller(Channel channel, long earliestArrivalNanos) implements EndpointHandler.Caller {
+
+        @Override
+        public CompletableFuture<Boolean> isWaiting() {
+            // On the event loop, which has by then read everything that arrived with the request.
+            return CompletableFuture.supplyAsync(
+                    () -> channel.isActive() && System.nanoTime() - earliestArrivalNanos < CALLER_PATIENCE_NANOS,
+                    channel.eventLoop());
+        }
+    }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -95,14 +95,17 @@
                 service ->
                         table.estimates(service).decodeServersPerPrefillServer(admission.serverMemoryTokens(service)));
         this.ingress = Ingress.start(settings.address(), services);
+        InputDelay inputDelay = InputDelay.start(context.eventLoops(), System::nanoTime);
         this.operatorEndpoint = Endpoint.start(
                 settings.operatorAddress(),
                 context.eventLoops(),
+                inputDelay,
                 MAX_DOCUMENT_BYTES,
                 adapter.operatorHandler(new ReplicatedActions(context.control())));
         this.readinessEndpoint = Endpoint.start(
                 settings.readinessAddress(),
                 context.eventLoops(),
+                inputDelay,
                 MAX_READINESS_BYTES,
                 adapter.readinessHandler(this::isReady));
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/ReplicatedActions.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ReplicatedActions.java
@@ -13,6 +13,7 @@
 import io.chivehollow.base.ErrorCode;
 import io.chivehollow.base.FailureDomain;
 import io.chivehollow.coordination.CoordinationException;
+import io.chivehollow.coordination.forwarding.adapter.EndpointHandler;
 import io.chivehollow.coordination.forwarding.adapter.OperatorActions;
 import io.chivehollow.coordination.replica.ControlClient;
 import io.chivehollow.protocol.wire.Command;
@@ -21,7 +22,6 @@
 import io.chivehollow.protocol.wire.DeploymentQuery;
 import io.chivehollow.protocol.wire.PublishDeployment;
 import io.chivehollow.protocol.wire.Query;
-import io.chivehollow.protocol.wire.SetDomain;
 
 /**
  * Executes operators' actions through the replicated log.
@@ -68,14 +68,13 @@
     }
 
     @Override
-    public CompletableFuture<Void> setDomain(FailureDomain domain, boolean isOutOfService) {
-        Command command = Command.newBuilder()
-                .setSetDomain(SetDomain.newBuilder().setDomain(domain.value()).setOut(isOutOfService))
-                .build();
-        return control.submit(command, TIMEOUT_MS).thenAccept(ReplicatedActions::checked);
+    public CompletableFuture<Void> setDomain(
+            FailureDomain domain, boolean isOutOfService, EndpointHandler.Caller caller) {
+        DomainChange change = new DomainChange(control::query, control::submit, System::nanoTime, TIMEOUT_MS);
+        return change.run(domain, isOutOfService, caller);
     }
 
-    private static CommandResult checked(CommandResult result) {
+    static CommandResult checked(CommandResult result) {
         if (!result.getErrorCode().isEmpty()) {
             throw CoordinationException.notRun(
                     ErrorCode.fromWireName(result.getErrorCode()), String.join("; ", result.getFaultsList()));
--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/EndpointHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/EndpointHandler.java
@@ -19,8 +19,21 @@
      * @param method HTTP method
      * @param path path without the query
      * @param body the complete body
+     * @param caller the caller that waits for the response
      */
-    record Request(String method, String path, byte[] body) {}
+    record Request(String method, String path, byte[] body, Caller caller) {}
+
+    /** The caller of a request, as far as its connection shows. */
+    @FunctionalInterface
+    interface Caller {
+
+        /**
+         * Returns whether the caller can still be waiting: it has not closed the connection, and the request has not
+         * been at this instance for longer than callers wait, including the time for which it may have been unread
+         * while the process was stopped or busy.
+         */
+        CompletableFuture<Boolean> isWaiting();
+    }
 
     /**
      * A response.
--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/OperatorActions.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/OperatorActions.java
@@ -24,6 +24,10 @@
     /** Returns the document of the newest deployment, or an empty value if none has been published. */
     CompletableFuture<Optional<byte[]>> document();
 
-    /** Takes a failure domain out of service or puts it back into service. */
-    CompletableFuture<Void> setDomain(FailureDomain domain, boolean isOutOfService);
+    /**
+     * Takes a failure domain out of service or puts it back into service, unless the caller has stopped waiting or the
+     * failure domains change meanwhile. The future fails then, because the caller may have issued a later request at
+     * another instance, which an earlier one must not undo.
+     */
+    CompletableFuture<Void> setDomain(FailureDomain domain, boolean isOutOfService, EndpointHandler.Caller caller);
 }
--- a/src/main/java/io/chivehollow/coordination/replica/ReplicaService.java
+++ b/src/main/java/io/chivehollow/coordination/replica/ReplicaService.java
@@ -330,6 +330,7 @@
                             query.getRecord().getTeam(), query.getRecord().getIdempotencyKey())
                     .ifPresent(result::setRecord);
             case DEPLOYMENT -> result.setDeploymentDocument(state.deploymentDocument());
+            case DOMAINS -> result.setDomainsVersion(state.releasedState().getDomainsVersion());
             default -> {
                 // A query without a kind requests only the commit index.
             }
--- a/src/main/java/io/chivehollow/state/machine/ControlState.java
+++ b/src/main/java/io/chivehollow/state/machine/ControlState.java
@@ -167,9 +167,16 @@
             return PublishedDeployment.emptyDomainResult();
         }
         ReleasedState.Builder next = PublishedDeployment.setDomain(command, released);
-        if (next != null) {
-            publish(next);
+        if (next == null) {
+            return PublishedDeployment.result(released);
         }
+        if (command.hasDomainsVersion() && command.getDomainsVersion() != released.getDomainsVersion()) {
+            return CommandResults.refused(
+                    ErrorCode.STATE_CHANGED,
+                    "domain: a failure domain has changed in version " + released.getDomainsVersion()
+                            + ", and the command is based on version " + command.getDomainsVersion());
+        }
+        publish(next);
         return PublishedDeployment.result(released);
     }
 
@@ -217,6 +224,9 @@
     }
 
     private long publish(ReleasedState.Builder next) {
+        if (!next.getDomainsList().equals(released.getDomainsList())) {
+            next.setDomainsVersion(released.getVersion() + 1);
+        }
         next.clearKeys().addAllKeys(apiKeys.keys()).setVersion(released.getVersion() + 1);
         released = next.build();
         return released.getVersion();
--- a/src/test/java/io/chivehollow/state/machine/PublishedDeploymentTest.java
+++ b/src/test/java/io/chivehollow/state/machine/PublishedDeploymentTest.java
@@ -104,6 +104,29 @@
         assertEquals(restored.deploymentDocument().toStringUtf8(), "three");
     }
 
+    /** Guards against a delayed command that undoes a later change, also if the failure domain looks as it did then. */
+    @Test
+    public void domainChangeBasedOnAnEarlierVersionIsRefused() {
+        apply(setDomain("north", true));
+        long version = state.releasedState().getDomainsVersion();
+        apply(setDomain("north", false));
+        apply(setDomain("north", true));
+        apply(publish(7, "red", 10, "seven"));
+        Command delayed = based(setDomain("north", false), version);
+        assertEquals(apply(delayed).getErrorCode(), "state_changed");
+        assertTrue(state.releasedState().getDomains(0).getOut());
+        Command current = based(setDomain("north", false), state.releasedState().getDomainsVersion());
+        assertEquals(apply(current).getErrorCode(), "");
+        assertFalse(state.releasedState().getDomains(0).getOut());
+        assertEquals(apply(current).getErrorCode(), "");
+    }
+
+    private static Command based(Command setDomain, long domainsVersion) {
+        return setDomain.toBuilder()
+                .setSetDomain(setDomain.getSetDomain().toBuilder().setDomainsVersion(domainsVersion))
+                .build();
+    }
+
     /** Guards against a retried command that fails or counts as a change. */
     @Test
     public void retriedDomainChangeChangesNothing() {
