Answer requests that arrive or are still open late in a planned shutdown

Cause: the end of the drain closed idle connections and the listening socket, but requests were still processed; the end of the shutdown only counted those that were open.

Evidence: both tests of ShutdownTest failed before: "HTTP/1.1 200 OK" in place of 503 for a request whose last bytes arrive after the drain, and for an open request only the 504 of its route's time-out.

Why this works: from the end of the drain on, the ingress refuses each request that becomes complete as "not run"; at the end of the shutdown each open request gets the answer that states whether it may have run.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -42,6 +42,9 @@
 
     private static final long POLL_MS = 50;
 
+    /** Time to send the final answers of requests that are still open at the end of the shutdown. */
+    private static final long FINAL_ANSWERS_MS = 100;
+
     private static final Logger LOG = Logger.getLogger(ForwardingRole.class);
 
     private final ForwardingSettings settings;
@@ -139,8 +142,8 @@
     }
 
     /**
-     * Shuts the role down: refuses new connections after the load balancer has had the time to notice, and waits for
-     * open requests, at most for the shutdown time of the settings.
+     * Shuts the role down: refuses new connections and requests after the load balancer has had the time to notice,
+     * waits for open requests, at most for the shutdown time of the settings, and ends the others with an error.
      */
     @Override
     public void close() {
@@ -157,6 +160,10 @@
             open = countOpenRequests();
         }
         LOG.infof("Shutdown of the forwarding role ends with %d open requests", open);
+        if (open > 0) {
+            ingress.failOpenRequests();
+            sleep(FINAL_ANSWERS_MS);
+        }
         listPoller.close();
         operatorEndpoint.close();
         readinessEndpoint.close();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -45,6 +45,8 @@
     /** Retry time for prompts that may be tried again after the first pause of the crash ledger. */
     private static final long BLOCKED_RETRY_MS = 30_000;
 
+    private static final String SHUTDOWN_MESSAGE = "The instance shuts down";
+
     private static final long MS_TO_NANOS = 1_000_000;
 
     private final ForwardServices services;
@@ -84,6 +86,12 @@
         return flow;
     }
 
+    /** Refuses a request that has been received while the process shuts down. */
+    public static void refuseAtShutdown(ForwardServices services, ForwardRequest request, CallerSink sink) {
+        ForwardFlow flow = new ForwardFlow(services, request, sink, () -> {});
+        flow.refuse(Refusal.retryAfter(ErrorCode.SHUTTING_DOWN, SHUTDOWN_MESSAGE, Refusal.OVERLOAD_RETRY_MS));
+    }
+
     private void admit() {
         Optional<Admission.AdmittedRequest> result = services.admission().admit(request, this::refuse);
         if (result.isEmpty()) {
@@ -309,6 +317,11 @@
         sink.refuse(refusal);
     }
 
+    /** Ends the request with an error because the process ends. */
+    public void shutDown() {
+        fail(ErrorCode.SHUTTING_DOWN, SHUTDOWN_MESSAGE);
+    }
+
     /** Cancels the request because its caller has disconnected. */
     public void cancel() {
         if (!isEnded) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
@@ -114,7 +114,10 @@
         return isDraining;
     }
 
-    /** Returns whether connections are closed as soon as they have no open request. */
+    /**
+     * Returns whether connections are closed as soon as they have no open request, and requests that become complete
+     * are refused.
+     */
     boolean isClosing() {
         return isClosing;
     }
@@ -124,7 +127,7 @@
         isDraining = true;
     }
 
-    /** Stops listening and closes the connections that have no open request. */
+    /** Stops listening, closes the connections that have no open request, and refuses requests from now on. */
     public void closeIdle() {
         isClosing = true;
         Channel listening = serverChannel;
@@ -134,6 +137,14 @@
         services.loop().execute(() -> Set.copyOf(connections).forEach(IngressConnection::closeIfIdle));
     }
 
+    /**
+     * Ends all open requests with an answer that states whether they may have run; a response that has begun is cut
+     * off.
+     */
+    public void failOpenRequests() {
+        services.loop().execute(() -> Set.copyOf(connections).forEach(IngressConnection::failOpenRequest));
+    }
+
     /** Returns the number of open requests; must be called on the event loop. */
     public int openRequests() {
         return (int) connections.stream().filter(IngressConnection::isBusy).count();
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
@@ -83,6 +83,16 @@
         return isBusy || head != null;
     }
 
+    /** Ends the open request because the process ends; a request that is not complete is dropped. */
+    void failOpenRequest() {
+        ForwardFlow open = flow;
+        if (open != null) {
+            open.shutDown();
+        } else if (head != null) {
+            close();
+        }
+    }
+
     void closeIfIdle() {
         if (!isBusy() && context != null) {
             context.close();
@@ -198,6 +208,11 @@
                 firstByteNanos);
         String stated = forwarded.fields().requestId();
         requestId = stated == null ? "" : stated;
+        if (ingress.isClosing()) {
+            // The process may end before the response, and other instances serve the request.
+            ForwardFlow.refuseAtShutdown(services, forwarded, this);
+            return;
+        }
         ForwardFlow started = ForwardFlow.start(services, forwarded, this, () -> flow = null);
         if (isBusy) {
             flow = started;
