Limit the data of one event of an engine

On the path of forwarded requests this cannot happen (EndlessResponseTest, NettyHttpFetcherTest); it could in the sidecar.

Cause: EventStreamParser limited each line of an event, but not their number.

Why this works: the limit applies to the data of the event as a whole.

--- a/src/main/java/io/chivehollow/protocol/engine/EventStreamParser.java
+++ b/src/main/java/io/chivehollow/protocol/engine/EventStreamParser.java
@@ -18,6 +18,9 @@
     /** Longest line in bytes; bounds the memory that a misbehaving backend server can occupy. */
     private static final int MAX_LINE_BYTES = 1 << 20;
 
+    /** Longest data of an event in characters, of all its lines together. */
+    private static final int MAX_EVENT_CHARS = 1 << 20;
+
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private final StringBuilder data = new StringBuilder();
 
@@ -27,10 +30,7 @@
         for (byte next : bytes) {
             if (next != '\n') {
                 line.write(next);
-                if (line.size() > MAX_LINE_BYTES) {
-                    throw EngineException.mayHaveRun(
-                            ErrorCode.BACKEND_FAILED, "Event line of the engine exceeds the size limit", null);
-                }
+                checkSize(line.size() <= MAX_LINE_BYTES);
                 continue;
             }
             parseLine(events);
@@ -54,6 +54,14 @@
         if (text.startsWith("data:")) {
             String value = text.substring("data:".length());
             data.append(data.length() > 0 ? "\n" : "").append(value.startsWith(" ") ? value.substring(1) : value);
+            checkSize(data.length() <= MAX_EVENT_CHARS);
+        }
+    }
+
+    private static void checkSize(boolean isWithinLimit) {
+        if (!isWithinLimit) {
+            throw EngineException.mayHaveRun(
+                    ErrorCode.BACKEND_FAILED, "Event of the engine exceeds the size limit", null);
         }
     }
 }
