Let StatusConnectionTest wait for its second call

The test polls twice and expects that one response completes both polls; if its thread paused between the two calls, the response was read before the second poll had reached the event loop, which then sent a request that the stand-in never answers.

The test now waits until the event loop has run what was submitted before the response is sent. What it checks is unchanged.

--- a/src/test/java/io/chivehollow/protocol/engine/StatusConnectionTest.java
+++ b/src/test/java/io/chivehollow/protocol/engine/StatusConnectionTest.java
@@ -78,6 +78,8 @@
                 HttpEngineClient client = client(server)) {
             CompletableFuture<EngineStatus> first = client.status();
             CompletableFuture<EngineStatus> meanwhile = client.status();
+            // The first response completes the calls that have reached the event loop by then.
+            loops.submit(() -> {}).syncUninterruptibly();
             try (Socket connection = server.accept()) {
                 respond(connection, 1);
                 assertEquals(first.get().running(), 1);
