Drop commands of operators that have disconnected from a gateway

Cause: these commands have no number of their own; the gateway chose the next one for whatever it read.

Evidence: commandOfADisconnectedOperatorDoesNotTakeEffect failed before for all four commands ("expected [1] but found [2]" commands).

Why this works: the connection is checked after the number has been read. A later command of the operator takes that number or a higher one, and the state machine accepts each number once.

--- a/src/main/java/io/chivehollow/coordination/gateway/AdminController.java
+++ b/src/main/java/io/chivehollow/coordination/gateway/AdminController.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -72,22 +73,22 @@
 
     @Post(uri = "/domains/{id}/out", consumes = MediaType.ALL, produces = MediaType.ALL)
     CompletableFuture<HttpResponse<?>> takeDomainOut(HttpRequest<?> request, String id) {
-        return run(request, () -> service.setDomainOut(id, true));
+        return run(request, () -> service.setDomainOut(id, true, isConnected(request)));
     }
 
     @Post(uri = "/domains/{id}/in", consumes = MediaType.ALL, produces = MediaType.ALL)
     CompletableFuture<HttpResponse<?>> bringDomainIn(HttpRequest<?> request, String id) {
-        return run(request, () -> service.setDomainOut(id, false));
+        return run(request, () -> service.setDomainOut(id, false, isConnected(request)));
     }
 
     @Post(uri = "/backend-servers/{id}/drain", consumes = MediaType.ALL, produces = MediaType.ALL)
     CompletableFuture<HttpResponse<?>> drain(HttpRequest<?> request, String id) {
-        return run(request, () -> service.setDraining(id, true));
+        return run(request, () -> service.setDraining(id, true, isConnected(request)));
     }
 
     @Post(uri = "/backend-servers/{id}/undrain", consumes = MediaType.ALL, produces = MediaType.ALL)
     CompletableFuture<HttpResponse<?>> undrain(HttpRequest<?> request, String id) {
-        return run(request, () -> service.setDraining(id, false));
+        return run(request, () -> service.setDraining(id, false, isConnected(request)));
     }
 
     @Get(uri = "/replicas", produces = MediaType.ALL)
@@ -110,6 +111,10 @@
         return run(request, () -> service.command(id, body(request)));
     }
 
+    private static BooleanSupplier isConnected(HttpRequest<?> request) {
+        return HttpExchange.channel(request)::isActive;
+    }
+
     private static byte[] body(HttpRequest<byte[]> request) {
         return request.getBody().orElse(new byte[0]);
     }
--- a/src/main/java/io/chivehollow/coordination/gateway/AdminService.java
+++ b/src/main/java/io/chivehollow/coordination/gateway/AdminService.java
@@ -5,6 +5,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -119,19 +120,20 @@
                 .put("config_version", result.getKey().getConfigVersion()));
     }
 
-    /** Takes a failure domain out of service or puts it back into service. */
-    CompletableFuture<ObjectNode> setDomainOut(String domain, boolean isOutOfService) {
-        return applyGeneratedRelease(note -> note.putObject("changed")
+    /** Takes a failure domain out of service or puts it back into service, if the operator is still connected. */
+    CompletableFuture<ObjectNode> setDomainOut(String domain, boolean isOutOfService, BooleanSupplier isConnected) {
+        return applyGeneratedRelease(isConnected, note -> note.putObject("changed")
                 .putArray("domains")
                 .addObject()
                 .put("id", domain)
                 .put("out", isOutOfService));
     }
 
-    /** Drains a backend server or ends its draining. */
-    CompletableFuture<ObjectNode> setDraining(String backendServer, boolean isDraining) {
+    /** Drains a backend server or ends its draining, if the operator is still connected. */
+    CompletableFuture<ObjectNode> setDraining(String backendServer, boolean isDraining, BooleanSupplier isConnected) {
         String section = isDraining ? "added" : "withdrawn";
         return applyGeneratedRelease(
+                isConnected,
                 note -> note.putObject(section).putArray("draining").add(backendServer));
     }
 
@@ -190,21 +192,30 @@
         return Json.object().put("state", "done");
     }
 
-    private CompletableFuture<ObjectNode> applyGeneratedRelease(Function<ObjectNode, ?> change) {
+    /**
+     * Applies a release note with the next number. The number is read before the connection is checked, so that a later
+     * command of the operator, at whatever gateway, takes this number or a higher one.
+     */
+    private CompletableFuture<ObjectNode> applyGeneratedRelease(
+            BooleanSupplier isConnected, Function<ObjectNode, ?> change) {
         ObjectNode note = Json.object().put("note_id", newId()).put("operator", "operator");
         change.apply(note);
-        return applyWithNextNumber(note, MAX_NUMBER_ATTEMPTS);
+        return applyWithNextNumber(note, MAX_NUMBER_ATTEMPTS, isConnected);
     }
 
-    private CompletableFuture<ObjectNode> applyWithNextNumber(ObjectNode note, int attempts) {
+    private CompletableFuture<ObjectNode> applyWithNextNumber(
+            ObjectNode note, int attempts, BooleanSupplier isConnected) {
         return releases().thenCompose(history -> {
+            if (!isConnected.getAsBoolean()) {
+                throw Failures.of(ErrorCode.CANCELLED, "The operator has disconnected", true);
+            }
             int count = history.path("releases").size();
             long last = history.path("releases").path(count - 1).path("number").asLong();
             note.put("number", last + 1);
             return applyRelease(Json.toBytes(note)).exceptionallyCompose(failure -> {
                 boolean isTaken = Failures.unwrap(failure).code() == ErrorCode.NUMBER_TAKEN;
                 return isTaken && attempts > 1
-                        ? applyWithNextNumber(note, attempts - 1)
+                        ? applyWithNextNumber(note, attempts - 1, isConnected)
                         : CompletableFuture.failedFuture(failure);
             });
         });
--- a/src/main/java/io/chivehollow/coordination/gateway/HttpExchange.java
+++ b/src/main/java/io/chivehollow/coordination/gateway/HttpExchange.java
@@ -54,14 +54,18 @@
         this.onClose = closed -> onClosed();
     }
 
-    /** Returns the exchange of a request and starts listening for the close of its connection. */
-    static HttpExchange open(GatewayCore core, HttpRequest<?> request) {
+    /** Returns the connection of a request. */
+    static Channel channel(HttpRequest<?> request) {
         HttpRequest<?> netty = request;
         while (netty instanceof HttpRequestWrapper<?> wrapper) {
             netty = wrapper.getDelegate();
         }
-        Channel channel =
-                ((NettyHttpRequest<?>) netty).getChannelHandlerContext().channel();
+        return ((NettyHttpRequest<?>) netty).getChannelHandlerContext().channel();
+    }
+
+    /** Returns the exchange of a request and starts listening for the close of its connection. */
+    static HttpExchange open(GatewayCore core, HttpRequest<?> request) {
+        Channel channel = channel(request);
         HttpExchange exchange = new HttpExchange(core, request, channel);
         channel.closeFuture().addListener(exchange.onClose);
         return exchange;
--- a/src/test/java/io/chivehollow/coordination/gateway/AdminHttpTest.java
+++ b/src/test/java/io/chivehollow/coordination/gateway/AdminHttpTest.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -148,6 +150,40 @@
         assertEquals(state.releasedState().getReleaseNumber(), 3);
     }
 
+    @DataProvider
+    public Object[][] commandsWithoutNumber() {
+        return new Object[][] {
+            {"/domains/t1-d/out"}, {"/domains/t1-d/in"}, {"/backend-servers/s/drain"}, {"/backend-servers/s/undrain"}
+        };
+    }
+
+    /**
+     * Guards against a command that takes effect after its operator has given it up, when a later command may have been
+     * sent to another gateway.
+     */
+    @Test(dataProvider = "commandsWithoutNumber")
+    public void commandOfADisconnectedOperatorDoesNotTakeEffect(String path) throws Exception {
+        send("POST", "/releases", note("n-1", 1, "t1"));
+        int commands = fixture.control.commands.size();
+        CountDownLatch queried = new CountDownLatch(1);
+        CompletableFuture<Void> released = new CompletableFuture<>();
+        fixture.control.beforeQuery = () -> {
+            queried.countDown();
+            return released;
+        };
+        try (RawClient operator = new RawClient(fixture.gateway.address())) {
+            operator.write("POST /admin/v1" + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                    + GatewayFixture.OPERATOR_KEY + "\r\nContent-Length: 0\r\n\r\n");
+            assertTrue(queried.await(FakeSidecar.MAX_WAIT_S, TimeUnit.SECONDS));
+            // The gateway closes the connection when it has read its end.
+            operator.finishOutput().readAll();
+        }
+        fixture.control.beforeQuery = () -> CompletableFuture.completedFuture(null);
+        released.complete(null);
+        assertEquals(send("GET", "/releases", "").statusCode(), 200);
+        assertEquals(fixture.control.commands.size(), commands);
+    }
+
     @Test
     public void replicasAreListedAndErrorsOfTheLeaderAreReturned() throws Exception {
         fixture.control.report = StatusReport.newBuilder()
--- a/src/test/java/io/chivehollow/coordination/gateway/GatewayFixture.java
+++ b/src/test/java/io/chivehollow/coordination/gateway/GatewayFixture.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
@@ -348,6 +349,7 @@
                 change -> CompletableFuture.completedFuture(MembersChanged.newBuilder()
                         .setInstance(change.getInstance())
                         .build());
+        volatile Supplier<CompletableFuture<?>> beforeQuery = () -> CompletableFuture.completedFuture(null);
         volatile Function<Command, CompletableFuture<CommandResult>> commandResponse =
                 command -> CompletableFuture.completedFuture(CommandResult.getDefaultInstance());
 
@@ -380,8 +382,9 @@
 
         @Override
         public CompletableFuture<QueryResult> query(Query query) {
-            return CompletableFuture.completedFuture(
-                    QueryResult.newBuilder().addAllReleases(state.releases()).build());
+            return beforeQuery.get().thenApply(ready -> QueryResult.newBuilder()
+                    .addAllReleases(state.releases())
+                    .build());
         }
 
         @Override
