Log what decides whether a response that ends with its connection is complete

The line of a request names how the list shows the server at that moment and, if its address was asked, the answer and how long after the end it came. Before, a response of a draining server that was killed and one that had ended in order had the same line. No logic is changed.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -97,6 +97,17 @@
         return isListed && !isReplaced && !entry.isDraining();
     }
 
+    /** Returns text for the log: how the platform's list shows this run. */
+    String listState() {
+        if (isReplaced) {
+            return "replaced at its address";
+        }
+        if (!isListed) {
+            return "removed from the list";
+        }
+        return entry.isDraining() ? "listed as draining" : "listed as ready";
+    }
+
     boolean isCold(long nowNanos) {
         return nowNanos < coldEndNanos;
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -116,10 +116,18 @@
         }
         // The connections of a server that shuts down as announced end after its last response.
         if (backend.entry().isDraining()) {
+            listener.onConnectionEnd(backend.listState());
             complete(false);
             return;
         }
+        long endNanos = connections.nanoTime();
         connections.checkReachable(backend, isReachable -> {
+            if (isEnded) {
+                return;
+            }
+            listener.onConnectionEnd(backend.listState() + ", the address "
+                    + (isReachable ? "accepts" : "refuses") + " connections "
+                    + TimeUnit.NANOSECONDS.toMillis(connections.nanoTime() - endNanos) + " ms later");
             if (isReachable || backend.entry().isDraining()) {
                 complete(false);
             } else {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -139,6 +139,10 @@
         send(backend, request, listener, true).failAfter(loop, timeoutMs);
     }
 
+    long nanoTime() {
+        return nanoTime.getAsLong();
+    }
+
     /**
      * Tells whether the server still accepts connections after one of its connections has ended; the new connection is
      * kept for later requests of callers.
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
@@ -22,6 +22,13 @@
      */
     boolean onData(ByteBuf data);
 
+    /**
+     * Called before {@link #onEnd} or {@link #onFailure} if only the end of the connection marks the end of the response.
+     *
+     * @param evidence text for the log: how it was decided whether the response is complete
+     */
+    default void onConnectionEnd(String evidence) {}
+
     /** Called at the end of a complete response. */
     void onEnd();
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -211,6 +211,11 @@
             return isWithinLimits;
         }
 
+        @Override
+        public void onConnectionEnd(String evidence) {
+            trace.addTimedStep("connection ended, " + evidence);
+        }
+
         @Override
         public void onEnd() {
             cancelBodyTimer();
