Ask the run that sent a response whether it outlived the end of its connection

Cause: a response that only its connection ends was judged by the address of its server and by the platform's list. For a server listed as draining nothing was asked; for any other one it was asked 20 ms later whether somebody accepts connections there. A draining server can be killed, and another run can have started at the address, also under the same id. Class of fault: what is true of a place is taken to be true of the process that was there.

Why it works: the system closes all connections of a process that ends. Before a request of a caller is sent, a connection to its server is open that carries no request (RunWitness). A response to a probe over it after the end shows that the run that got the request is alive, so that it has ended the response itself. The probe is meant for no run, so that each run refuses it without running it. No list, id or clock takes part, and it does not matter how late the end is read. If nothing can be shown, the response is cut or becomes 502. ResponseEnd holds the decision for streams, bodies, prefills and the router's own calls, whose JSON shows its own end.

--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/Dialect.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/Dialect.java
@@ -57,6 +57,12 @@
      */
     FullHttpRequest changeRole(String backendServer, BackendEntry.Role role, String holder, long number);
 
+    /**
+     * Returns a request that is meant for no run, so that each run refuses it at once without running it. The response
+     * shows that the run is alive.
+     */
+    FullHttpRequest probe();
+
     /** Returns the value of the header field that states after how many milliseconds a caller may retry. */
     String retryAfter(long timeMs);
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -37,6 +37,10 @@
     /** The idle connections of the router's own calls. */
     final Deque<IdleConnection> idleOwnConnections = new ArrayDeque<>();
 
+    /** Created with the first request of a caller. */
+    @Nullable
+    RunWitness witness;
+
     private final EngineEstimates estimates;
     private final PromptQueue promptQueue;
     private BackendEntry entry;
@@ -51,6 +55,7 @@
     private long lastColdSendNanos;
     private long memoryFullEndNanos = Long.MIN_VALUE / 2;
     private long refusedTokens;
+    private long idleTimeoutMs = -1;
     private boolean isListed = true;
     private boolean isReplaced;
 
@@ -97,6 +102,19 @@
         return isListed && !isReplaced && !entry.isDraining();
     }
 
+    /** Returns the time after which the server closes idle connections, in milliseconds, or -1 if not stated. */
+    long idleTimeoutMs() {
+        return idleTimeoutMs;
+    }
+
+    void setIdleTimeoutMs(long timeoutMs) {
+        boolean isChanged = timeoutMs != idleTimeoutMs;
+        idleTimeoutMs = timeoutMs;
+        if (isChanged && witness != null) {
+            witness.onIdleTimeoutChanged();
+        }
+    }
+
     /** Returns text for the log: how the platform's list shows this run. */
     String listState() {
         if (isReplaced) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -18,7 +18,7 @@
 public final class BackendCall {
 
     private final BackendConnections connections;
-    private final Backend backend;
+    final Backend backend;
     final BackendListener listener;
     final @Nullable String requestId;
     final boolean isOwn;
@@ -26,6 +26,7 @@
     private @Nullable ScheduledFuture<?> timer;
     private boolean isEnded;
     private long idleTimeoutMs = -1;
+    private RunWitness.@Nullable Observation observation;
 
     BackendCall(
             BackendConnections connections,
@@ -70,6 +71,7 @@
 
     private void end() {
         isEnded = true;
+        endObservation();
         if (timer != null) {
             timer.cancel(false);
         }
@@ -84,6 +86,7 @@
      */
     public void setIdleTimeoutMs(long timeoutMs) {
         idleTimeoutMs = timeoutMs;
+        backend.setIdleTimeoutMs(timeoutMs);
     }
 
     /**
@@ -106,32 +109,36 @@
         }
     }
 
-    /**
-     * Completes a response whose end is marked only by the end of its connection, if the backend server can still be
-     * reached. The connections of a server that crashes end in the same way, but it accepts no new ones.
-     */
-    void completeAtConnectionEnd() {
+    /** Observes the run of the backend server until the call has ended or the end of its response is stated. */
+    void observeRun(RunWitness.Observation started) {
+        observation = started;
+    }
+
+    void endObservation() {
+        if (observation != null) {
+            observation.end();
+        }
+    }
+
+    /** Completes a response whose end only the connection marks, if the run that sent it is shown to be alive. */
+    void completeIfRunIsAlive() {
         if (isEnded) {
             return;
         }
-        // The connections of a server that shuts down as announced end after its last response.
-        if (backend.entry().isDraining()) {
-            listener.onConnectionEnd(backend.listState());
-            complete(false);
+        if (observation == null) {
+            fail(Failure.BROKEN_ANSWER, "the connection ended, and the run of the server was not observed");
             return;
         }
-        long endNanos = connections.nanoTime();
-        connections.checkReachable(backend, isReachable -> {
+        observation.checkAlive(isAlive -> {
             if (isEnded) {
                 return;
             }
-            listener.onConnectionEnd(backend.listState() + ", the address "
-                    + (isReachable ? "accepts" : "refuses") + " connections "
-                    + TimeUnit.NANOSECONDS.toMillis(connections.nanoTime() - endNanos) + " ms later");
-            if (isReachable || backend.entry().isDraining()) {
+            listener.onConnectionEnd(
+                    backend.listState() + (isAlive ? ", its run is alive" : ", its run is not shown to be alive"));
+            if (isAlive) {
                 complete(false);
             } else {
-                fail(Failure.BROKEN_ANSWER, "the connection ended, and the server cannot be reached");
+                fail(Failure.BROKEN_ANSWER, "the connection ended, and the run is not shown to be alive");
             }
         });
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -56,6 +56,9 @@
     /** Time in milliseconds in which the system closes the port of a crashed server after its first connection. */
     private static final int CRASH_MS = 20;
 
+    /** Timeout of a probe in milliseconds; a run refuses it without a free slot. */
+    private static final int PROBE_TIMEOUT_MS = 1_000;
+
     private final EventLoop loop;
     private final LongSupplier nanoTime;
     private final Dialect dialect;
@@ -91,15 +94,48 @@
 
     /** Sends the request of a caller, which is released; the returned call can be cancelled. */
     public BackendCall send(Backend backend, FullHttpRequest request, BackendListener listener) {
-        return send(backend, request, listener, false);
+        if (listener.isEndInContent()) {
+            return send(backend, request, listener, false);
+        }
+        BackendCall call = newCall(backend, request, listener, false);
+        RunWitness witness = witness(backend);
+        witness.whenOpen(() -> {
+            call.observeRun(witness.observe());
+            send(call, request);
+        });
+        return call;
+    }
+
+    private RunWitness witness(Backend backend) {
+        RunWitness witness = backend.witness;
+        if (witness == null) {
+            witness = new RunWitness(this, backend);
+            backend.witness = witness;
+        }
+        return witness;
+    }
+
+    private BackendCall newCall(Backend backend, FullHttpRequest request, BackendListener listener, boolean isOwn) {
+        return new BackendCall(this, backend, listener, dialect.requestId(request.headers()), isOwn);
     }
 
     private BackendCall send(Backend backend, FullHttpRequest request, BackendListener listener, boolean isOwn) {
-        BackendCall call = new BackendCall(this, backend, listener, dialect.requestId(request.headers()), isOwn);
-        Channel idle = takeIdle(isOwn ? backend.idleOwnConnections : backend.idleConnections, call);
+        BackendCall call = newCall(backend, request, listener, isOwn);
+        send(call, request);
+        return call;
+    }
+
+    private void send(BackendCall call, FullHttpRequest request) {
+        if (call.isEnded()) {
+            call.endObservation();
+            request.release();
+            return;
+        }
+        Backend backend = call.backend;
+        Channel idle = takeIdle(call.isOwn ? backend.idleOwnConnections : backend.idleConnections, call);
         if (idle != null) {
             start(call, idle, request);
-            return call;
+            return;
         }
         ChannelFuture connecting = bootstrap.connect(backend.entry().address());
         connecting.addListener(done -> {
@@ -113,7 +149,6 @@
                 start(call, connecting.channel(), request);
             }
         });
-        return call;
     }
 
     private static void start(BackendCall call, Channel channel, FullHttpRequest request) {
@@ -143,6 +178,36 @@
         return nanoTime.getAsLong();
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
+    /** Opens a connection; the receiver gets null if that fails. */
+    void connect(Backend backend, Consumer<@Nullable Channel> receiver) {
+        ChannelFuture connecting = bootstrap.connect(backend.entry().address());
+        connecting.addListener(done -> receiver.accept(done.isSuccess() ? connecting.channel() : null));
+    }
+
+    /** Sends a probe over the connection, which is closed then; the receiver is told whether the run responds. */
+    void probe(Backend backend, Channel channel, Consumer<Boolean> receiver) {
+        if (!channel.isActive()) {
+            receiver.accept(false);
+            return;
+        }
+        FullHttpRequest request = dialect.probe();
+        RunProbe probe = new RunProbe(dialect, backend.id(), receiver);
+        BackendCall call = newCall(backend, request, probe, true);
+        probe.setCall(call);
+        call.failAfter(loop, PROBE_TIMEOUT_MS);
+        start(call, channel, request);
+    }
+
+    /** Returns the time in nanoseconds for which an idle connection may be used. */
+    long usableNanos(long statedIdleMs) {
+        long idleMs = statedIdleMs < 0 ? DEFAULT_IDLE_MS : statedIdleMs;
+        return (long) (TimeUnit.MILLISECONDS.toNanos(idleMs) * IDLE_SHARE);
+    }
+
     /**
      * Tells whether the server still accepts connections after one of its connections has ended; the new connection is
      * kept for later requests of callers.
@@ -184,15 +249,16 @@
             channel.close();
             return;
         }
-        long statedMs = idleTimeoutMs < 0 ? DEFAULT_IDLE_MS : idleTimeoutMs;
-        long usableNanos = (long) (TimeUnit.MILLISECONDS.toNanos(statedMs) * IDLE_SHARE);
-        connections.addFirst(new IdleConnection(channel, nanoTime.getAsLong() + usableNanos));
+        connections.addFirst(new IdleConnection(channel, nanoTime.getAsLong() + usableNanos(idleTimeoutMs)));
     }
 
     /** Closes the idle connections of a backend server that is no longer used. */
     public void closeIdle(Backend backend) {
         closeAll(backend.idleConnections);
         closeAll(backend.idleOwnConnections);
+        if (backend.witness != null) {
+            backend.witness.closeIfUnused();
+        }
     }
 
     private static void closeAll(Deque<IdleConnection> connections) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -127,6 +127,9 @@
                     return;
                 }
                 isEndStated = ResponseFraming.isStated(head);
+                if (isEndStated) {
+                    current.endObservation();
+                }
                 if (!current.isOwn) {
                     unsuccessful.add(current.requestId, status);
                 }
@@ -158,11 +161,7 @@
             call = null;
             // The codec ends a response before its connection ends only if the response states its end or has no body.
             isEndStated |= context.channel().isActive();
-            if (error != null) {
-                current.fail(Failure.BROKEN_ANSWER, "connection failed: " + error);
-            } else {
-                completed = current;
-            }
+            completed = current;
         }
     }
 
@@ -183,10 +182,13 @@
         if (ended == null) {
             return;
         }
-        if (isEndStated) {
-            ended.complete(isKeepAlive);
+        ResponseEnd.Verdict verdict = ResponseEnd.of(isEndStated, error != null, ended.listener.isEndInContent());
+        if (verdict == ResponseEnd.Verdict.COMPLETE) {
+            ended.complete(isEndStated && isKeepAlive);
+        } else if (verdict == ResponseEnd.Verdict.DEPENDS_ON_RUN) {
+            ended.completeIfRunIsAlive();
         } else {
-            ended.completeAtConnectionEnd();
+            ended.fail(Failure.BROKEN_ANSWER, "connection failed: " + error);
         }
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
@@ -23,7 +23,15 @@
     boolean onData(ByteBuf data);
 
     /**
-     * Called before {@link #onEnd} or {@link #onFailure} if only the end of the connection marks the end of the response.
+     * Returns whether the receiver finds the end of the body in its content, so that an incomplete body cannot be taken
+     * for a complete one.
+     */
+    default boolean isEndInContent() {
+        return false;
+    }
+
+    /**
+     * Called before {@link #onEnd} or {@link #onFailure} if only the connection marks the end of the response.
      *
      * @param evidence text for the log: how it was decided whether the response is complete
      */
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortResponse.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortResponse.java
@@ -42,6 +42,12 @@
         return body.add(data);
     }
 
+    /** The body is JSON, or only the status counts. */
+    @Override
+    public boolean isEndInContent() {
+        return true;
+    }
+
     @Override
     public void onEnd() {
         receiver.onResponse(status, body.bytes());
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
@@ -156,6 +156,12 @@
             return body.add(data);
         }
 
+        /** The body is JSON. */
+        @Override
+        public boolean isEndInContent() {
+            return true;
+        }
+
         @Override
         public void onEnd() {
             boolean isDone = status == ResponseChecks.OK;
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 
+import io.chivehollow.coordination.forwarding.backend.ResponseEnd;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -53,7 +54,7 @@
 
     @Override
     public boolean isComplete(boolean isEndStated) {
-        return !events.hasPartial() && (isEndStated || events.hasEventOfRun());
+        return ResponseEnd.isEndOfStream(isEndStated, events.hasPartial(), events.hasEventOfRun());
     }
 
     @Override
