Ask an engine for its boot id before its response is complete without a length

Callers of a gateway saw: half a body of an ordinary service, a prefill or a command as complete if the engine's process had ended in the middle of it and another one accepted connections at its address.

Cause: as for the forwarding role, the address was asked and not the run (EngineHttpExchange.endIfReachable).

Why it works: an engine states the id of its run in its responses. Two polls of its status, of which the second is sent after the end, must state the id of the response. A response without the id is incomplete, as nothing shows its run; generations are not concerned, because their finish reason marks their end.

--- a/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
+++ b/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.chivehollow.base.ErrorCode;
 import io.netty.bootstrap.Bootstrap;
@@ -9,7 +10,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
@@ -19,9 +19,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -40,18 +42,18 @@
 
     private static final int CONNECT_TIMEOUT_MS = 1_000;
 
-    /** Time in milliseconds in which the system closes the port of a crashed server after its first connection. */
-    private static final int CRASH_MS = 20;
-
     private final InetSocketAddress address;
+    private final RunCheck runCheck;
     private final ResponseHandler handler;
+    private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
     private boolean isInterim;
     private boolean isClosedHere;
     private boolean isEndChecked;
     private boolean isEnded;
 
-    private EngineHttpExchange(InetSocketAddress address, ResponseHandler handler) {
+    private EngineHttpExchange(InetSocketAddress address, RunCheck runCheck, ResponseHandler handler) {
         this.address = address;
+        this.runCheck = runCheck;
         this.handler = handler;
     }
 
@@ -60,15 +62,17 @@
      *
      * <p>The request is released when it has been written or when the connect has failed.
      *
+     * @param runCheck tells whether the run that sent a response is alive
      * @param readTimeoutMs longest time without a byte from the backend server, in milliseconds
      */
     static Channel send(
             InetSocketAddress address,
             EventLoopGroup eventLoops,
             FullHttpRequest request,
+            RunCheck runCheck,
             int readTimeoutMs,
             ResponseHandler handler) {
-        EngineHttpExchange exchange = new EngineHttpExchange(address, handler);
+        EngineHttpExchange exchange = new EngineHttpExchange(address, runCheck, handler);
         Bootstrap bootstrap = new Bootstrap()
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
@@ -123,6 +127,7 @@
             return;
         }
         if (message instanceof HttpResponse response) {
+            headers = response.headers();
             handler.onHead(response.status().code(), response.headers());
         }
         if (message instanceof HttpContent content && content.content().isReadable()) {
@@ -139,34 +144,24 @@
             ctx.close();
         } else if (!isClosedHere && !ctx.channel().eventLoop().isShuttingDown()) {
             isEndChecked = true;
-            ctx.channel()
-                    .eventLoop()
-                    .schedule(() -> endIfReachable(ctx.channel().eventLoop()), CRASH_MS, TimeUnit.MILLISECONDS);
+            EventLoop loop = ctx.channel().eventLoop();
+            runCheck.isAlive(headers, isAlive -> loop.execute(() -> endIf(isAlive)));
         }
     }
 
     /**
-     * Ends a response whose end is marked only by the end of its connection, if the backend server can still be
-     * reached. The connections of a server that crashes end in the same way, but it accepts no new ones.
+     * Ends a response whose end is marked only by the end of its connection, if the run that sent it is still alive.
+     * The connections of a run that crashes end in the same way, and another run may start at its address.
      */
-    private void endIfReachable(EventLoop loop) {
-        ChannelFuture connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(address);
-        connecting.addListener(done -> {
-            connecting.channel().close();
-            if (done.isSuccess()) {
-                end();
-            } else {
-                fail(EngineException.mayHaveRun(
-                        ErrorCode.BACKEND_FAILED,
-                        "The connection ended, and the backend server cannot be reached",
-                        done.cause()));
-            }
-        });
+    private void endIf(boolean isAlive) {
+        if (isAlive) {
+            end();
+        } else {
+            fail(EngineException.mayHaveRun(
+                    ErrorCode.BACKEND_FAILED,
+                    "The connection ended, and the run of the backend server is not shown to be alive",
+                    null));
+        }
     }
 
     private void end() {
@@ -206,6 +201,19 @@
         }
     }
 
+    /** Tells whether the run of the backend server that sent a response is still alive. */
+    @FunctionalInterface
+    interface RunCheck {
+
+        /**
+         * Asks the backend server.
+         *
+         * @param headers headers of the response
+         * @param receiver called with false also if it cannot be shown; on any thread
+         */
+        void isAlive(HttpHeaders headers, Consumer<Boolean> receiver);
+    }
+
     /** Records that this process closes the connection, which ends a response of no stated length in the decoder. */
     private final class CloseRecorder extends ChannelOutboundHandlerAdapter {
 
--- a/src/main/java/io/chivehollow/protocol/engine/HttpEngineClient.java
+++ b/src/main/java/io/chivehollow/protocol/engine/HttpEngineClient.java
@@ -33,6 +33,9 @@
  */
 public final class HttpEngineClient implements EngineClient {
 
+    /** Id of the run of a backend server; it changes with each start. */
+    private static final String BOOT_ID = "X-Boot-Id";
+
     /** Timeout of calls to which an engine responds without running a model. */
     private static final int CONTROL_TIMEOUT_MS = 1_000;
 
@@ -109,7 +112,7 @@
             return new FailedCall<>(e);
         }
         GenerationHandler handler = new GenerationHandler(listener, this::reportBootId);
-        Channel channel = EngineHttpExchange.send(address, eventLoops, http, callTimeoutMs, handler);
+        Channel channel = EngineHttpExchange.send(address, eventLoops, http, this::checkRun, callTimeoutMs, handler);
         return new ChannelCall<>(channel, handler.result());
     }
 
@@ -187,7 +190,7 @@
     private static EngineStatus toStatus(CollectingHandler.CollectedResponse response) {
         String text = new String(requireSuccess(response), StandardCharsets.UTF_8);
         return new EngineStatus(
-                response.headers().get("X-Boot-Id", ""),
+                response.headers().get(BOOT_ID, ""),
                 (int) metric(text, "vllm:num_requests_running"),
                 (int) metric(text, "vllm:num_requests_waiting"),
                 metric(text, "vllm:kv_cache_usage_perc"));
@@ -229,7 +232,7 @@
     private <T> EngineCall<T> collect(
             FullHttpRequest http, int readTimeoutMs, Function<CollectingHandler.CollectedResponse, T> conversion) {
         CollectingHandler handler = new CollectingHandler(this::reportBootId);
-        Channel channel = EngineHttpExchange.send(address, eventLoops, http, readTimeoutMs, handler);
+        Channel channel = EngineHttpExchange.send(address, eventLoops, http, this::checkRun, readTimeoutMs, handler);
         return new ChannelCall<>(channel, handler.result().thenApply(conversion));
     }
 
@@ -254,8 +257,27 @@
         return http;
     }
 
+    /**
+     * Tells whether the backend server still has the boot id of an earlier response; a response without one does not
+     * show which run sent it.
+     */
+    private void checkRun(HttpHeaders headers, Consumer<Boolean> receiver) {
+        String bootId = headers.get(BOOT_ID);
+        if (bootId == null) {
+            receiver.accept(false);
+            return;
+        }
+        // The first poll may get the response to a request that was sent before.
+        statusConnection
+                .poll()
+                .handle((response, failure) -> statusConnection.poll())
+                .thenCompose(poll -> poll)
+                .whenComplete((response, failure) -> receiver.accept(
+                        failure == null && bootId.equals(response.headers().get(BOOT_ID))));
+    }
+
     private void reportBootId(HttpHeaders headers) {
-        String bootId = headers.get("X-Boot-Id");
+        String bootId = headers.get(BOOT_ID);
         if (bootId != null) {
             bootIdListener.accept(bootId);
         }
