Do not take the end of its connection for the end of an engine's status

Callers saw nothing at once: a sidecar read the metrics of an engine that crashed in the middle of them, with zero in place of those that were missing.

Cause: StatusConnection took an orderly close for the end of a response without a length; only a reset was an error.

Evidence: statusWithoutLengthIsNotCompletedByTheEndOfItsConnection, red before, green now.

Why it works: such a status fails, and the next poll asks again. Engines state a length or chunks.

--- a/src/main/java/io/chivehollow/protocol/engine/StatusConnection.java
+++ b/src/main/java/io/chivehollow/protocol/engine/StatusConnection.java
@@ -184,6 +184,7 @@
     private final class ResponseReader extends SimpleChannelInboundHandler<HttpObject> {
 
         private boolean isKeepAlive = true;
+        private boolean isEndStated;
         private boolean isReset;
 
         @Override
@@ -202,12 +203,15 @@
             hasResponseBegun = true;
             if (message instanceof HttpResponse response) {
                 isKeepAlive = HttpUtil.isKeepAlive(response);
+                isEndStated = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
                 handler.onHead(response.status().code(), response.headers());
             }
             if (message instanceof HttpContent content && content.content().isReadable()) {
                 handler.onBody(ByteBufUtil.getBytes(content.content()));
             }
-            if (message instanceof LastHttpContent) {
+            boolean isEnd = isEndStated || ctx.channel().isActive();
+            // Otherwise only the end of the connection ends the response, which may have been interrupted.
+            if (message instanceof LastHttpContent && isEnd) {
                 handler.onEnd();
                 CollectedResponse response = handler.result().join();
                 if (!isKeepAlive) {
--- a/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
+++ b/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
@@ -126,6 +126,13 @@
         respond(response).close();
     }
 
+    @Test
+    public void statusWithoutLengthIsNotCompletedByTheEndOfItsConnection() throws Exception {
+        CompletableFuture<EngineStatus> status = client.status();
+        respond(UNFRAMED + "vllm:num_requests_running 1\n").close();
+        assertInterrupted(status);
+    }
+
     @Test
     public void statusWithoutLengthIsNotCompletedByAReset() throws Exception {
         CompletableFuture<EngineStatus> status = client.status();
