--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -68,6 +68,9 @@
     }
 
     void update(BackendEntry newEntry, long nowNanos) {
+        if (witness != null && !newEntry.address().equals(entry.address())) {
+            witness.reset();
+        }
         entry = newEntry;
         isListed = true;
         if (newEntry.coldRemainingMs() > 0) {
@@ -102,15 +105,17 @@
         return isListed && !isReplaced && !entry.isDraining();
     }
 
-    /** Returns the time after which the server closes idle connections, in milliseconds, or -1 if not stated. */
+    /** Returns the idle timeout of connections that the server stated last, in milliseconds, or -1 if none. */
     long idleTimeoutMs() {
         return idleTimeoutMs;
     }
 
     void setIdleTimeoutMs(long timeoutMs) {
-        boolean isChanged = timeoutMs != idleTimeoutMs;
+        if (timeoutMs < 0 || timeoutMs == idleTimeoutMs) {
+            return;
+        }
         idleTimeoutMs = timeoutMs;
-        if (isChanged && witness != null) {
+        if (witness != null) {
             witness.onIdleTimeoutChanged();
         }
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -17,6 +17,9 @@
  */
 public final class BackendCall {
 
+    /** Time in milliseconds in which a process that ends closes its connections, one after the other. */
+    private static final int CRASH_MS = 20;
+
     private final BackendConnections connections;
     final Backend backend;
     final BackendListener listener;
@@ -25,6 +28,7 @@
     private @Nullable Channel channel;
     private @Nullable ScheduledFuture<?> timer;
     private boolean isEnded;
+    private boolean isKept;
     private long idleTimeoutMs = -1;
     private RunWitness.@Nullable Observation observation;
 
@@ -109,6 +113,17 @@
         }
     }
 
+    /** Leaves the connection to the listener instead of the idle connections if it can be reused. */
+    void keepChannel() {
+        isKept = true;
+    }
+
+    /** Returns the connection of a complete call that keeps it, if it can be reused. */
+    @Nullable
+    Channel reusableChannel() {
+        return isKept ? channel : null;
+    }
+
     /** Observes the run of the backend server until the call has ended or the end of its response is stated. */
     void observeRun(RunWitness.Observation started) {
         observation = started;
@@ -129,18 +144,21 @@
             fail(Failure.BROKEN_ANSWER, "the connection ended, and the run of the server was not observed");
             return;
         }
-        observation.checkAlive(isAlive -> {
-            if (isEnded) {
-                return;
-            }
-            listener.onConnectionEnd(
-                    backend.listState() + (isAlive ? ", its run is alive" : ", its run is not shown to be alive"));
-            if (isAlive) {
-                complete(false);
-            } else {
-                fail(Failure.BROKEN_ANSWER, "the connection ended, and the run is not shown to be alive");
-            }
-        });
+        RunWitness.Observation observed = observation;
+        connections.loop().schedule(() -> observed.checkAlive(this::onRunChecked), CRASH_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void onRunChecked(boolean isAlive) {
+        if (isEnded) {
+            return;
+        }
+        listener.onConnectionEnd(
+                backend.listState() + (isAlive ? ", its run is alive" : ", its run is not shown to be alive"));
+        if (isAlive) {
+            complete(false);
+        } else {
+            fail(Failure.BROKEN_ANSWER, "the connection ended, and the run is not shown to be alive");
+        }
     }
 
     void complete(boolean isReusable) {
@@ -148,7 +166,9 @@
             return;
         }
         end();
-        if (isReusable && channel != null) {
+        if (isKept) {
+            isKept = isReusable;
+        } else if (isReusable && channel != null) {
             connections.returnIdle(backend, channel, idleTimeoutMs, isOwn);
         } else if (channel != null) {
             channel.close();
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -56,9 +56,6 @@
     /** Time in milliseconds in which the system closes the port of a crashed server after its first connection. */
     private static final int CRASH_MS = 20;
 
-    /** Timeout of a probe in milliseconds; a run refuses it without a free slot. */
-    private static final int PROBE_TIMEOUT_MS = 1_000;
-
     private final EventLoop loop;
     private final LongSupplier nanoTime;
     private final Dialect dialect;
@@ -188,17 +185,17 @@
         connecting.addListener(done -> receiver.accept(done.isSuccess() ? connecting.channel() : null));
     }
 
-    /** Sends a probe over the connection, which is closed then; the receiver is told whether the run responds. */
-    void probe(Backend backend, Channel channel, Consumer<Boolean> receiver) {
+    /** Sends a probe over the connection. */
+    void probe(Backend backend, Channel channel, RunProbe.Receiver receiver) {
         if (!channel.isActive()) {
-            receiver.accept(false);
+            receiver.onResult(false, null);
             return;
         }
         FullHttpRequest request = dialect.probe();
         RunProbe probe = new RunProbe(dialect, backend.id(), receiver);
         BackendCall call = newCall(backend, request, probe, true);
+        call.keepChannel();
         probe.setCall(call);
-        call.failAfter(loop, PROBE_TIMEOUT_MS);
         start(call, channel, request);
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseEnd.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseEnd.java
@@ -17,7 +17,8 @@
  * <p>A stream is also incomplete if it ends within an event, and, if the connection marks its end, if the run has sent
  * no event. The state of the server in the platform's list (ready, draining, leaving, removed, replaced at its address)
  * changes none of this: a server of each state can end a response in order or in the middle. {@link RunWitness} tells
- * whether the run is alive.
+ * whether the run is alive. A run that ends such a response too early and lives on cannot be told from one that has
+ * completed it.
  *
  * <p>Stateless and thread-safe.
  */
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/RunProbe.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/RunProbe.java
@@ -1,14 +1,13 @@
 package io.chivehollow.coordination.forwarding.backend;
 
-import java.util.function.Consumer;
-
 import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Receives the response to a probe; its head shows that the run which sends it is alive.
+ * Receives the response to a probe; it shows that the run which sends it is alive.
  *
  * <p>Invariant: the receiver is called once. Used on the event loop of the forwarding role only.
  */
@@ -16,10 +15,11 @@
 
     private final Dialect dialect;
     private final String backendServer;
-    private final Consumer<Boolean> receiver;
+    private final Receiver receiver;
     private @Nullable BackendCall call;
+    private boolean isExpectedRun;
 
-    RunProbe(Dialect dialect, String backendServer, Consumer<Boolean> receiver) {
+    RunProbe(Dialect dialect, String backendServer, Receiver receiver) {
         this.dialect = dialect;
         this.backendServer = backendServer;
         this.receiver = receiver;
@@ -33,10 +33,14 @@
     public void onHead(HttpResponse head) {
         String stated =
                 dialect.readResponse(head.status().code(), head.headers()).backendServer();
-        if (call != null) {
-            call.cancel();
+        isExpectedRun = stated == null || stated.equals(backendServer);
+        if (!ResponseFraming.isStated(head)) {
+            // The head is enough, and the connection ends with the response.
+            if (call != null) {
+                call.cancel();
+            }
+            receiver.onResult(isExpectedRun, null);
         }
-        receiver.accept(stated == null || stated.equals(backendServer));
     }
 
     @Override
@@ -45,13 +49,31 @@
         return true;
     }
 
+    @Override
+    public boolean isEndInContent() {
+        return true;
+    }
+
     @Override
     public void onEnd() {
-        // The call was cancelled at the head of its response.
+        receiver.onResult(isExpectedRun, call == null ? null : call.reusableChannel());
     }
 
     @Override
     public void onFailure(Failure failure, String reason) {
-        receiver.accept(false);
+        receiver.onResult(false, null);
+    }
+
+    /** Receives the result of a probe. */
+    @FunctionalInterface
+    interface Receiver {
+
+        /**
+         * Called once.
+         *
+         * @param isAlive whether the run has responded
+         * @param reusable the probed connection if it can carry a further probe, else null
+         */
+        void onResult(boolean isAlive, @Nullable Channel reusable);
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/RunWitness.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/RunWitness.java
@@ -16,16 +16,28 @@
  * request was sent therefore comes from the run that got it. Neither the entry in the platform's list nor a new
  * connection shows that, because another run may start at the address, also under the same id.
  *
- * <p>The connection carries nothing but one probe. It is replaced before the server closes it as idle: the new
- * connection is opened first, so that the response to the probe shows that both belong to the same run.
+ * <p>The connection carries probes only, one at a time, also so that the server does not close it as idle. If the server
+ * closes it after its response, a connection takes its place that was opened before the probe was sent: the response
+ * shows that both belong to the same run. A run that does not respond is not known to have ended as long as the
+ * connection is open.
  *
- * <p>Invariant: two connections have the same generation only if they belong to the same run. Used on the event loop of
- * the forwarding role only.
+ * <p>Invariant: two connections have the same generation only if they belong to the same run, provided that two runs
+ * never accept connections or respond at one address at the same time. Used on the event loop of the forwarding role
+ * only.
  */
 final class RunWitness {
 
-    /** Limits the wait for a new connection, in milliseconds; a connect takes 2 to 4 ms. */
-    private static final int CONNECT_WAIT_MS = 20;
+    /** Limits the wait for a new connection, in milliseconds; a connect takes 2 to 4 ms unless a packet is lost. */
+    private static final int CONNECT_WAIT_MS = 100;
+
+    /** Time in milliseconds after a failed connect in which requests do not wait for the next one. */
+    private static final long FAILED_CONNECT_PAUSE_MS = 500;
+
+    /** Limits the rate of renewals for a server that states a very short idle timeout. */
+    private static final long MIN_RENEWAL_MS = 250;
+
+    /** Limits the wait for the answer to a check, in milliseconds; a run refuses a probe without a free slot. */
+    private static final int CHECK_TIMEOUT_MS = 1_000;
 
     private static final long NO_GENERATION = -1;
 
@@ -35,10 +47,12 @@
     private List<Check> openChecks = new ArrayList<>();
     private @Nullable Channel channel;
     private long openedNanos;
+    private long connectFailedNanos;
+    private boolean hasConnectFailed;
     private long generation;
     private int observations;
     private boolean isConnecting;
-    private boolean isRenewing;
+    private boolean isProbing;
     private @Nullable ScheduledFuture<?> renewal;
 
     RunWitness(BackendConnections connections, Backend backend) {
@@ -52,6 +66,12 @@
             action.run();
             return;
         }
+        boolean mayWait = !hasConnectFailed
+                || connections.nanoTime() - connectFailedNanos > TimeUnit.MILLISECONDS.toNanos(FAILED_CONNECT_PAUSE_MS);
+        if (!mayWait) {
+            action.run();
+            return;
+        }
         waiting.add(action);
         if (!isConnecting) {
             isConnecting = true;
@@ -61,7 +81,9 @@
 
     private void onConnected(@Nullable Channel opened) {
         isConnecting = false;
-        if (opened != null) {
+        if (opened != null && isOpen() && remainingNanos() > 0) {
+            opened.close();
+        } else if (opened != null) {
             close();
             channel = opened;
             openedNanos = connections.nanoTime();
@@ -86,6 +108,13 @@
         }
     }
 
+    /** Ends what is known of the run, because its address has changed. */
+    void reset() {
+        close();
+        channel = null;
+        generation++;
+    }
+
     private void close() {
         if (channel != null) {
             channel.close();
@@ -98,7 +127,9 @@
 
     /** Returns the time until the server may close the connection as idle. */
     private long remainingNanos() {
-        return openedNanos + connections.usableNanos(backend.idleTimeoutMs()) - connections.nanoTime();
+        long usableNanos = Math.max(
+                connections.usableNanos(backend.idleTimeoutMs()), TimeUnit.MILLISECONDS.toNanos(MIN_RENEWAL_MS));
+        return openedNanos + usableNanos - connections.nanoTime();
     }
 
     private void scheduleRenewal() {
@@ -130,47 +161,73 @@
         }
     }
 
-    /** Sends a probe over the connection, after the connection that takes its place has been opened. */
     private void probe() {
-        if (isRenewing) {
+        if (isProbing) {
             return;
         }
         Channel probed = channel;
         List<Check> checks = openChecks;
         openChecks = new ArrayList<>();
-        checks.stream().filter(check -> check.generation != generation).forEach(check -> check.receiver.accept(false));
-        checks.removeIf(check -> check.generation != generation);
         if (probed == null || !probed.isActive()) {
-            checks.forEach(check -> check.receiver.accept(false));
+            checks.forEach(check -> check.complete(false));
             return;
         }
-        isRenewing = true;
-        connect(successor ->
-                connections.probe(backend, probed, isAlive -> onProbed(probed, successor, checks, isAlive)));
+        isProbing = true;
+        if (checks.size() >= observations) {
+            sendProbe(probed, null, checks);
+        } else {
+            connect(successor -> sendProbe(probed, successor, checks));
+        }
     }
 
-    private void onProbed(Channel probed, @Nullable Channel successor, List<Check> checks, boolean isAlive) {
-        isRenewing = false;
-        if (channel == probed) {
-            channel = successor;
-            openedNanos = connections.nanoTime();
-            if (!isAlive || successor == null) {
+    private void sendProbe(Channel probed, @Nullable Channel successor, List<Check> checks) {
+        long sentNanos = connections.nanoTime();
+        long probedGeneration = generation;
+        connections.probe(backend, probed, (isAlive, reusable) -> {
+            Channel next = successor;
+            if (reusable != null) {
+                next = reusable;
+                if (successor != null) {
+                    successor.close();
+                }
+            }
+            onProbed(probed, next, sentNanos, isAlive);
+            checks.forEach(check -> check.complete(isAlive && check.generation == probedGeneration));
+        });
+    }
+
+    private void onProbed(Channel probed, @Nullable Channel next, long sentNanos, boolean isAlive) {
+        isProbing = false;
+        if (channel != probed) {
+            if (next != null) {
+                next.close();
+            }
+        } else {
+            if (next != probed) {
+                probed.close();
+            }
+            channel = next;
+            openedNanos = sentNanos;
+            if (!isAlive || next == null) {
                 generation++;
             }
-        } else if (successor != null) {
-            successor.close();
         }
-        checks.forEach(check -> check.receiver.accept(isAlive));
         if (!openChecks.isEmpty()) {
-            probe();
+            connections.loop().execute(this::probe);
         }
         if (observations > 0) {
             scheduleRenewal();
+        } else if (!backend.isUsable()) {
+            close();
         }
     }
 
     private void connect(Consumer<@Nullable Channel> receiver) {
-        PendingConnect pending = new PendingConnect(receiver);
+        PendingConnect pending = new PendingConnect(result -> {
+            hasConnectFailed = result == null;
+            connectFailedNanos = connections.nanoTime();
+            receiver.accept(result);
+        });
         ScheduledFuture<?> timer =
                 connections.loop().schedule(() -> pending.complete(null), CONNECT_WAIT_MS, TimeUnit.MILLISECONDS);
         connections.connect(backend, opened -> {
@@ -199,8 +256,25 @@
         }
     }
 
-    /** A question whether the run of the given generation is alive, with the receiver of the answer. */
-    private record Check(long generation, Consumer<Boolean> receiver) {}
+    /** A question whether the run of a generation is alive; it is answered once. */
+    private static final class Check {
+
+        private final long generation;
+        private final Consumer<Boolean> receiver;
+        private boolean isComplete;
+
+        Check(long generation, Consumer<Boolean> receiver) {
+            this.generation = generation;
+            this.receiver = receiver;
+        }
+
+        void complete(boolean isAlive) {
+            if (!isComplete) {
+                isComplete = true;
+                receiver.accept(isAlive);
+            }
+        }
+    }
 
     /** The observation of a run from the moment before a request is sent to it. */
     final class Observation {
@@ -218,7 +292,9 @@
                 receiver.accept(false);
                 return;
             }
-            openChecks.add(new Check(observedGeneration, receiver));
+            Check check = new Check(observedGeneration, receiver);
+            openChecks.add(check);
+            connections.loop().schedule(() -> check.complete(false), CHECK_TIMEOUT_MS, TimeUnit.MILLISECONDS);
             probe();
         }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -211,6 +211,12 @@
             return isWithinLimits;
         }
 
+        /** Of a response that is not passed on, only the head counts. */
+        @Override
+        public boolean isEndInContent() {
+            return isDiscarded;
+        }
+
         @Override
         public void onConnectionEnd(String evidence) {
             trace.addTimedStep("connection ended, " + evidence);
