Refuse messages whose framing is ambiguous at the forwarding role

What callers and backend servers see, by tests with sockets only: a request with a folded line, a tab or two blanks in its first line, a blank before it, the version HTTP/2.0 or the transfer codings "gzip, chunked" runs. A response with a blank before a colon, a folded line, an unknown, empty or parameterized transfer coding, HTTP/2.0, a signed status or two blanks before it passes, as a plain response and as a complete stream.

RFC 9112, section 6.3, requires 400 where chunked is not the last coding.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -95,7 +94,7 @@
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
         channel.pipeline()
                 .addLast(new RequestTimer(limits))
-                .addLast(new HttpServerCodec(config))
+                .addLast(new RequestCodec(config))
                 .addLast(connection);
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
@@ -11,6 +11,7 @@
 import io.chivehollow.coordination.forwarding.flow.ForwardRequest;
 import io.chivehollow.coordination.forwarding.flow.ForwardServices;
 import io.chivehollow.coordination.forwarding.flow.Refusal;
+import io.chivehollow.protocol.HeadCheck;
 import io.chivehollow.protocol.openai.ErrorBody;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -30,7 +31,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -133,6 +133,10 @@
     }
 
     private void refuseUnreadable(Throwable cause) {
+        if (cause instanceof HeadCheck.UnknownCodingException) {
+            refuseIncomplete(ErrorCode.TRANSFER_CODING_UNKNOWN, "The only transfer coding of a request is chunked");
+            return;
+        }
         boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
         refuseIncomplete(
                 isTooLong ? ErrorCode.HEADER_TOO_LARGE : ErrorCode.INVALID_REQUEST,
@@ -161,7 +165,7 @@
 
     /** Sends the interim response past the codec, which would take it for the response to the request. */
     private static void sendContinue(ChannelHandlerContext read) {
-        read.pipeline().context(HttpServerCodec.class).writeAndFlush(Unpooled.wrappedBuffer(CONTINUE));
+        read.pipeline().context(RequestCodec.class).writeAndFlush(Unpooled.wrappedBuffer(CONTINUE));
     }
 
     private void onBody(ChannelHandlerContext read, HttpContent content) {
