Answer 501 to any number of transfer codings before chunked

HeadCheck took only one coding before chunked for an unknown one, so that "gzip, br, chunked" got 400.

--- a/src/main/java/io/chivehollow/protocol/HeadCheck.java
+++ b/src/main/java/io/chivehollow/protocol/HeadCheck.java
@@ -3,9 +3,9 @@
 import java.util.List;
 import java.util.Locale;
 
+import com.google.common.base.Splitter;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpVersion;
@@ -21,6 +21,8 @@
  */
 public final class HeadCheck {
 
+    private static final Splitter COMMA_SPLITTER = Splitter.on(',').trimResults();
+    private static final List<String> CHUNKED = List.of("chunked");
     private static final int SPACES_OF_FIRST_LINE = 2;
     private static final byte DELETE = 127;
 
@@ -124,17 +126,14 @@
     }
 
     private @Nullable IllegalArgumentException failure(HttpMessage head) {
-        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean isChunked = codings.size() == 1
-                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
-                        codings.get(0).strip());
-        if (!codings.isEmpty() && !isChunked) {
-            String last = codings.get(codings.size() - 1).toLowerCase(Locale.ROOT);
-            return codings.size() == 1
-                            && last.matches("[^,]*[^, \t][^,]*,[ \t]*chunked[ \t]*")
-                            && !last.strip().startsWith("chunked")
-                    ? new UnknownCodingException("Transfer-Encoding is " + codings)
-                    : new IllegalArgumentException("Transfer-Encoding is " + codings);
+        List<String> fields = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        List<String> codings =
+                COMMA_SPLITTER.splitToList(String.join(",", fields).toLowerCase(Locale.ROOT));
+        boolean isChunked = codings.equals(CHUNKED);
+        if (!fields.isEmpty() && !isChunked) {
+            String message = "Transfer-Encoding is " + fields;
+            boolean isLayered = codings.indexOf(CHUNKED.get(0)) == codings.size() - 1 && !codings.contains("");
+            return isLayered ? new UnknownCodingException(message) : new IllegalArgumentException(message);
         }
         if (isChunked && head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             return new IllegalArgumentException("chunks in HTTP/1.0");
