--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/RunWitness.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/RunWitness.java
@@ -17,9 +17,8 @@
  * connection shows that, because another run may start at the address, also under the same id.
  *
  * <p>The connection carries probes only, one at a time, also so that the server does not close it as idle. If the server
- * closes it after its response, a connection takes its place that was opened before the probe was sent: the response
- * shows that both belong to the same run. A run that does not respond is not known to have ended as long as the
- * connection is open.
+ * closes it after its response, a connection takes its place that was opened before the probe was sent; the response
+ * shows that both belong to the same run. A run that does not respond may still be alive while the connection is open.
  *
  * <p>Invariant: two connections have the same generation only if they belong to the same run, provided that two runs
  * never accept connections or respond at one address at the same time. Used on the event loop of the forwarding role
