--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/RunWitness.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/RunWitness.java
@@ -16,8 +16,8 @@
  * request was sent therefore comes from the run that got it. Neither the entry in the platform's list nor a new
  * connection shows that, because another run may start at the address, also under the same id.
  *
- * <p>The connection carries probes only, one at a time, also so that the server does not close it as idle. If the server
- * closes it after its response, a connection takes its place that was opened before the probe was sent; the response
+ * <p>The connection carries probes only, one at a time, also so that the server does not close it as idle. If it is
+ * closed after a response, a connection takes its place that was opened before the probe was sent; the response
  * shows that both belong to the same run. A run that does not respond may still be alive while the connection is open.
  *
  * <p>Invariant: two connections have the same generation only if they belong to the same run, provided that two runs
