Let FailedWriteTest respond on the connection that carries the request

It waited without end for a request on the first connection, which carries only probes now, so that a whole run of the suite hung. What it checks is unchanged.

--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/FailedWriteTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/FailedWriteTest.java
@@ -79,7 +79,9 @@
                 request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, BODY_BYTES);
                 call.complete(connections.send(table.all().iterator().next(), request, outcome));
             });
-            try (Socket connection = server.accept()) {
+            // The first connection carries no request.
+            try (Socket witness = server.accept();
+                    Socket connection = server.accept()) {
                 connection.getInputStream().readNBytes(1_000);
                 connection
                         .getOutputStream()
