Send no new work to a server that states that it leaves

Callers were sent to backend servers whose responses already stated that they leave, until the platform's list showed it. Nothing read that field. Each response head but interim ones, also of the router's own calls, now marks the run of the server as leaving, by its id and also across readings of the list that omit it. Reservations are checked again before the run or the prefill is sent, and if all servers of a service leave, the caller is refused at once.

A stream that runs at a leaving server went on before, too.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -61,7 +61,8 @@
         this.config = context.config();
         this.loop = context.eventLoops().next();
         ForwardingAdapter adapter = adapter(settings.adapter());
-        BackendTable table = BackendTable.create(System::nanoTime);
+        ForwardMetrics metrics = ForwardMetrics.create(context.registry());
+        BackendTable table = BackendTable.create(System::nanoTime, metrics);
         BackendConnections connections = BackendConnections.create(loop, System::nanoTime, adapter.dialect());
         this.listPoller = new BackendListPoller(
                 adapter.backendList(settings.backendListAddress(), new NettyHttpFetcher(context.eventLoops())),
@@ -85,7 +86,7 @@
                         new RetryLimits(settings.retryShare(), settings.retrySlack(), settings.retryWindowSeconds()),
                         context.processCount(),
                         context.crashes()),
-                ForwardMetrics.create(context.registry()));
+                metrics);
         RoleChangeSender.start(
                 context.instance(),
                 loop,
--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/ResponseFields.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/ResponseFields.java
@@ -11,6 +11,7 @@
  * @param isMisdirected whether the backend server states that the request was meant for another run or role
  * @param isSigned whether the response has the signature of the backend server
  * @param backendServer id of the responding backend server; null if not stated
+ * @param isLeaving whether the responding backend server states that it leaves
  * @param load load of the backend server; null if not stated
  * @param idleTimeoutMs time in milliseconds after which an idle connection is closed, -1 if not stated
  */
@@ -19,5 +20,6 @@
         boolean isMisdirected,
         boolean isSigned,
         @Nullable String backendServer,
+        boolean isLeaving,
         @Nullable BackendLoad load,
         long idleTimeoutMs) {}
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -3,11 +3,15 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
+import io.chivehollow.base.Identifiers;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
 import io.chivehollow.coordination.forwarding.adapter.BackendLoad;
+import io.chivehollow.coordination.forwarding.adapter.Dialect;
+import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,6 +42,8 @@
     final Deque<IdleConnection> idleOwnConnections = new ArrayDeque<>();
 
     private final EngineEstimates estimates;
+    private final ServerNotices notices;
+    private final ServerNotice notice;
     private final PromptQueue promptQueue;
     private BackendEntry entry;
     private long coldEndNanos = Long.MIN_VALUE / 2;
@@ -54,9 +60,11 @@
     private boolean isListed = true;
     private boolean isReplaced;
 
-    Backend(BackendEntry entry, EngineEstimates estimates, long nowNanos) {
+    Backend(BackendEntry entry, EngineEstimates estimates, ServerNotices notices, long nowNanos) {
         this.entry = entry;
         this.estimates = estimates;
+        this.notices = notices;
+        this.notice = notices.of(entry.id());
         this.promptQueue = new PromptQueue(estimates);
         this.lastColdSendNanos = nowNanos - Long.MAX_VALUE / 4;
         update(entry, nowNanos);
@@ -93,8 +101,29 @@
         return entry.role();
     }
 
-    boolean isUsable() {
-        return isListed && !isReplaced && !entry.isDraining();
+    /** Returns whether this run may get new work, which must be checked again before each request is sent. */
+    public boolean isUsable() {
+        return isListed && !isReplaced && !entry.isDraining() && !isLeaving();
+    }
+
+    /** Returns whether this run has stated that it leaves. */
+    public boolean isLeaving() {
+        return notice.isLeaving();
+    }
+
+    /** Reads the head of a response from the address of this run, and records what the server states about itself. */
+    public ResponseFields readHead(Dialect dialect, HttpResponse head, long nowNanos) {
+        ResponseFields fields = dialect.readResponse(head.status().code(), head.headers());
+        BackendLoad reported = fields.load();
+        if (reported != null) {
+            onLoad(reported, nowNanos);
+        }
+        String sender = fields.backendServer();
+        if (fields.isLeaving() && (sender == null || Identifiers.isIdentifier(sender))) {
+            ServerNotice stated = sender == null ? notice : notices.of(sender);
+            stated.onLeaving();
+        }
+        return fields;
     }
 
     boolean isCold(long nowNanos) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
@@ -10,6 +10,7 @@
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
+import com.google.common.collect.Sets;
 import io.chivehollow.base.FailureDomain;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
@@ -31,6 +32,9 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Result of {@link #unavailableNanos} if all servers leave. */
+    public static final long NEVER_NANOS = Long.MAX_VALUE;
+
     /**
      * Additional prompt wait that is accepted to keep the prefill in the failure domain of the decode server, as a
      * share of the target time.
@@ -57,6 +61,9 @@
     /** Share of the longest pause between events that a prefill at a decode server may take from its runs. */
     private static final double PREFILL_GAP_SHARE = 0.5;
 
+    private static final Set<Role> RUN_ROLES = Sets.immutableEnumSet(Role.PLAIN, Role.DECODE);
+    private static final Set<Role> MEMORY_ROLES = Sets.immutableEnumSet(Role.DECODE);
+
     private final BackendTable table;
     private final RandomGenerator random;
     private final IntSupplier processCount;
@@ -103,7 +110,7 @@
     public Optional<Backend> selectServer(
             String service, Set<String> excluded, Predicate<FailureDomain> isOutOfService, long nowNanos) {
         return leastLoaded(
-                candidates(service, EnumSet.of(Role.PLAIN, Role.DECODE), excluded, isOutOfService, nowNanos),
+                candidates(service, RUN_ROLES, excluded, isOutOfService, nowNanos),
                 backend -> backend.role() == Role.DECODE
                         ? backend.memoryTokens() + backend.requests(nowNanos)
                         : backend.requests(nowNanos));
@@ -116,7 +123,7 @@
     public Optional<Backend> selectForMemory(
             String service, long tokens, Predicate<FailureDomain> isOutOfService, long nowNanos) {
         List<Backend> withMemory = filter(
-                candidates(service, EnumSet.of(Role.DECODE), Set.of(), isOutOfService, nowNanos),
+                candidates(service, MEMORY_ROLES, Set.of(), isOutOfService, nowNanos),
                 backend -> !backend.lacksMemory(tokens, nowNanos));
         return leastLoaded(
                 withMemory,
@@ -178,6 +185,28 @@
                 backend.promptQueue().waitMs(nowNanos));
     }
 
+    /**
+     * Returns the time until a server of the service that may run requests accepts new work, as far as the servers have
+     * stated it.
+     *
+     * @param isMemoryNeeded whether the request needs memory of a decode server
+     * @return 0 if a server accepts work or none has stated anything, {@link #NEVER_NANOS} if all of them leave
+     */
+    public long unavailableNanos(
+            String service, boolean isMemoryNeeded, Predicate<FailureDomain> isOutOfService, long nowNanos) {
+        Set<Role> roles = isMemoryNeeded ? MEMORY_ROLES : RUN_ROLES;
+        boolean hasLeaving = false;
+        for (Backend backend : table.all()) {
+            if (roles.contains(backend.role()) && backend.entry().service().equals(service)) {
+                if (backend.isUsable() && !isOutOfService.test(backend.entry().domain())) {
+                    return 0;
+                }
+                hasLeaving |= backend.isLeaving();
+            }
+        }
+        return hasLeaving ? NEVER_NANOS : 0;
+    }
+
     private List<Backend> candidates(
             String service,
             Set<Role> roles,
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
@@ -17,7 +17,7 @@
  * The backend servers in the platform's list.
  *
  * <p>Invariant: an id stands for one run of a backend server; a run that was removed from the list is not used unless
- * it is listed again. Used on the event loop of the forwarding role only.
+ * it is listed again, and a run that leaves is not used even then. Used on the event loop of the forwarding role only.
  */
 public final class BackendTable {
 
@@ -26,14 +26,21 @@
     private final Map<String, Backend> byId = new HashMap<>();
     private final Map<String, EngineEstimates> estimatesByService = new HashMap<>();
     private final LongSupplier nanoTime;
+    private final ServerNotices notices;
 
-    private BackendTable(LongSupplier nanoTime) {
+    private BackendTable(LongSupplier nanoTime, ServerChanges changes) {
         this.nanoTime = nanoTime;
+        this.notices = new ServerNotices(changes);
     }
 
     /** Returns an empty table that uses the given clock. */
     public static BackendTable create(LongSupplier nanoTime) {
-        return new BackendTable(nanoTime);
+        return create(nanoTime, ServerChanges.NONE);
+    }
+
+    /** Returns an empty table that uses the given clock and reports changes that servers state about themselves. */
+    public static BackendTable create(LongSupplier nanoTime, ServerChanges changes) {
+        return new BackendTable(nanoTime, changes);
     }
 
     /** Replaces the list; returns the backend servers that were removed from it. */
@@ -42,12 +49,13 @@
         Set<String> listed = new HashSet<>();
         for (BackendEntry entry : entries) {
             listed.add(entry.id());
+            notices.of(entry.id());
             Backend backend = byId.get(entry.id());
             if (backend == null) {
                 LOG.infof(
                         "Backend server %s of service %s at %s was added to the list, role %s",
                         entry.id(), entry.service(), entry.address(), entry.role());
-                byId.put(entry.id(), new Backend(entry, estimates(entry.service()), now));
+                byId.put(entry.id(), new Backend(entry, estimates(entry.service()), notices, now));
             } else {
                 logChange(backend.entry(), entry);
                 backend.update(entry, now);
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortResponse.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ShortResponse.java
@@ -1,5 +1,9 @@
 package io.chivehollow.coordination.forwarding.backend;
 
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import org.jboss.logging.Logger;
@@ -23,18 +27,25 @@
 
     private static final Logger LOG = Logger.getLogger(ShortResponse.class);
 
+    private final Consumer<HttpResponse> headReader;
     private final Receiver receiver;
     private final BodyCollector body = new BodyCollector();
     private int status;
 
-    /** Returns a listener that passes the complete response to the receiver. */
-    public ShortResponse(Receiver receiver) {
+    private ShortResponse(Consumer<HttpResponse> headReader, Receiver receiver) {
+        this.headReader = headReader;
         this.receiver = receiver;
     }
 
+    /** Returns a listener that passes the complete response of the backend server to the receiver. */
+    public static ShortResponse of(Backend backend, Dialect dialect, LongSupplier nanoTime, Receiver receiver) {
+        return new ShortResponse(head -> backend.readHead(dialect, head, nanoTime.getAsLong()), receiver);
+    }
+
     @Override
     public void onHead(HttpResponse head) {
         status = head.status().code();
+        headReader.accept(head);
     }
 
     @Override
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -42,6 +42,12 @@
      */
     private static final long MEMORY_RETRY_SPREAD_MS = 1_500;
 
+    /** Shortest retry time if all backend servers leave; new ones are found in the list, which is read each second. */
+    private static final long MIN_REPLACEMENT_MS = 1_000;
+
+    /** Random part of the retry time if no backend server accepts work, so that not all callers return together. */
+    private static final long RETRY_SPREAD_MS = 500;
+
     /** Retry time for prompts that may be tried again after the first pause of the crash ledger. */
     private static final long BLOCKED_RETRY_MS = 30_000;
 
@@ -63,6 +69,7 @@
     private @Nullable ScheduledFuture<?> timeout;
     private long endNanos;
     private boolean isTrial;
+    private boolean hasLostReservation;
     private boolean isEnded;
 
     private ForwardFlow(ForwardServices services, ForwardRequest request, CallerSink sink, Runnable onEnded) {
@@ -136,7 +143,12 @@
         }
         Admission.AdmittedRequest accepted = admitted();
         MemoryReservation reserved = memory.reservation();
-        if (reserved != null) {
+        if (reserved != null && !reserved.backend().isUsable()) {
+            trace.addTimedStep("backend server " + reserved.backend().id() + " gets no more requests");
+            memory.endReservation(false);
+            hasLostReservation = true;
+            reserveMemory(accepted);
+        } else if (reserved != null) {
             proceedWithMemory(accepted, reserved);
         } else if (accepted.route().getGeneration()) {
             reserveMemory(accepted);
@@ -205,6 +217,8 @@
     private void reserveMemory(Admission.AdmittedRequest accepted) {
         if (run.history().isExhausted()) {
             fail(ErrorCode.OVERLOADED, "Backend servers are at capacity");
+        } else if (unavailableMs() > remainingMs()) {
+            refuseUnavailable();
         } else if (!run.history().hasAttempt()
                 && services.selector()
                         .isPrefillBusy(
@@ -214,7 +228,11 @@
             waitForPrefill(accepted);
         } else {
             memory.requestMemory(
-                    accepted, run.history().hasAttempt(), this::isOutOfService, this::proceed, this::refuseOverloaded);
+                    accepted,
+                    run.history().hasAttempt() || hasLostReservation,
+                    this::isOutOfService,
+                    this::proceed,
+                    this::refuseWithoutMemory);
         }
     }
 
@@ -232,15 +250,50 @@
      * after the burst has ended.
      */
     private void refuseOverloaded(String message) {
+        refuseNotRun(message, MIN_MEMORY_RETRY_MS + ThreadLocalRandom.current().nextLong(MEMORY_RETRY_SPREAD_MS));
+    }
+
+    /** Refuses the request with the retry time, or ends it with an error if it may have run. */
+    private void refuseNotRun(String message, long retryMs) {
         if (run.isRunPossible() || run.relay().hasStarted()) {
             fail(ErrorCode.OVERLOADED, message);
-            return;
+        } else {
+            refuse(Refusal.retryAfter(ErrorCode.OVERLOADED, message, retryMs));
+        }
+    }
+
+    private void refuseWithoutMemory(String message) {
+        if (unavailableMs() > 0) {
+            refuseUnavailable();
+        } else {
+            refuseOverloaded(message);
         }
-        long retryMs = MIN_MEMORY_RETRY_MS + ThreadLocalRandom.current().nextLong(MEMORY_RETRY_SPREAD_MS);
-        refuse(Refusal.retryAfter(ErrorCode.OVERLOADED, message, retryMs));
+    }
+
+    /** Returns the time until a backend server of the service accepts work again, as far as the servers state it. */
+    private long unavailableMs() {
+        Admission.AdmittedRequest accepted = admitted();
+        long nanos = services.selector()
+                .unavailableNanos(
+                        accepted.service(),
+                        accepted.route().getGeneration(),
+                        this::isOutOfService,
+                        services.nanoTime().getAsLong());
+        return nanos / MS_TO_NANOS;
+    }
+
+    /** Refuses the request because all backend servers of the service have stated that they want no work. */
+    private void refuseUnavailable() {
+        refuseNotRun(
+                "All backend servers of the service leave",
+                MIN_REPLACEMENT_MS + ThreadLocalRandom.current().nextLong(RETRY_SPREAD_MS));
     }
 
     private void waitOrRefuse(String reason) {
+        if (unavailableMs() > remainingMs()) {
+            refuseUnavailable();
+            return;
+        }
         boolean mayWait = elapsedNanos() < admitted().route().getTargetMs() * MS_TO_NANOS / SERVER_WAIT_DIVISOR;
         if (mayWait && !run.history().isExhausted()) {
             openAttempt.forgetTriedServers();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
@@ -3,13 +3,14 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
+import io.chivehollow.coordination.forwarding.backend.ServerChanges;
 
 /**
  * Records the outcomes and durations of forwarded requests.
  *
  * <p>Thread-safe.
  */
-public final class ForwardMetrics {
+public final class ForwardMetrics implements ServerChanges {
 
     private static final String PREFIX = "forwarding.";
 
@@ -37,6 +38,11 @@
         registry.counter(PREFIX + "server_crashes").inc();
     }
 
+    @Override
+    public void onLeaving() {
+        registry.counter(PREFIX + "servers_leaving").inc();
+    }
+
     void onRetry(String reason) {
         registry.counter(PREFIX + "repeats." + reason).inc();
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
@@ -52,7 +52,7 @@
      * others.
      *
      * @param admitted the admitted request
-     * @param hasEarlierAttempt whether the request was already sent to a backend server
+     * @param hasEarlierAttempt whether the request was already sent to a backend server or has lost a reservation
      * @param isOutOfService tells whether a failure domain is out of service
      * @param onGranted run when the memory is reserved
      * @param onRefused receives the reason if no memory was reserved in time
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
@@ -124,7 +124,11 @@
                                     .releasePrefill(
                                             unused.backend().id(),
                                             unused.result().handle()),
-                            new ShortResponse((status, body) -> trace.addStep("prefill freed")),
+                            ShortResponse.of(
+                                    unused.backend(),
+                                    services.dialect(),
+                                    services.nanoTime(),
+                                    (status, body) -> trace.addStep("prefill freed")),
                             ShortResponse.TIMEOUT_MS);
         }
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
@@ -2,7 +2,6 @@
 
 import java.util.Set;
 
-import io.chivehollow.coordination.forwarding.adapter.BackendLoad;
 import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendCall;
@@ -26,14 +25,14 @@
 
     private ResponseChecks() {}
 
-    /** Reads the head; records the reported load and the idle timeout. The call may be null if it has ended. */
+    /**
+     * Reads the head; records what the server states about itself and the idle timeout. The call may be null if it has
+     * ended.
+     */
     static ResponseFields readHead(
             ForwardServices services, HttpResponse head, Backend backend, @Nullable BackendCall call) {
-        ResponseFields fields = services.dialect().readResponse(head.status().code(), head.headers());
-        BackendLoad load = fields.load();
-        if (load != null) {
-            backend.onLoad(load, services.nanoTime().getAsLong());
-        }
+        ResponseFields fields =
+                backend.readHead(services.dialect(), head, services.nanoTime().getAsLong());
         if (call != null) {
             call.setIdleTimeoutMs(fields.idleTimeoutMs());
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -82,7 +82,8 @@
 
     /** Adds a request; the listener receives its reservation, or null if the wait time has expired. */
     public QueuedMemoryRequest add(MemoryRequest request, Consumer<@Nullable MemoryReservation> listener) {
-        QueuedMemoryRequest queued = new QueuedMemoryRequest(request, listener);
+        long expiryNanos = nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(request.maxWaitMs());
+        QueuedMemoryRequest queued = new QueuedMemoryRequest(request, expiryNanos, listener);
         ServiceQueue queue = queues.computeIfAbsent(request.service(), service -> new ServiceQueue());
         queued.setTimer(loop.schedule(() -> queued.complete(null), request.maxWaitMs(), TimeUnit.MILLISECONDS));
         queue.queueFor(request).addLast(queued);
@@ -95,8 +96,12 @@
         connections.sendOwn(
                 reservation.backend(),
                 dialect.releaseReservation(reservation.backend().id(), reservation.id()),
-                new ShortResponse((status, body) ->
-                        LOG.debugf("Response to the release of a memory reservation: status %d", status)),
+                ShortResponse.of(
+                        reservation.backend(),
+                        dialect,
+                        nanoTime,
+                        (status, body) ->
+                                LOG.debugf("Response to the release of a memory reservation: status %d", status)),
                 ShortResponse.TIMEOUT_MS);
     }
 
@@ -133,6 +138,7 @@
                         next.request.service(), tokens, next.request.isOutOfService(), nanoTime.getAsLong());
                 if (backend.isEmpty()) {
                     queueFor(next.request).addFirst(next);
+                    refuseUnservable();
                     pause();
                     return;
                 }
@@ -140,6 +146,25 @@
             }
         }
 
+        /** Refuses the queued requests for which no backend server can return before their wait time expires. */
+        private void refuseUnservable() {
+            long now = nanoTime.getAsLong();
+            for (Deque<QueuedMemoryRequest> queued : List.of(onTime, late)) {
+                queued.removeIf(next -> {
+                    boolean isUnservable = next.isExpiredIn(unavailableNanos(next.request, now), now);
+                    if (isUnservable) {
+                        // The listener may add requests to the queue or retry the queued ones.
+                        loop.execute(() -> next.complete(null));
+                    }
+                    return isUnservable;
+                });
+            }
+        }
+
+        private long unavailableNanos(MemoryRequest request, long now) {
+            return selector.unavailableNanos(request.service(), true, request.isOutOfService(), now);
+        }
+
         private @Nullable QueuedMemoryRequest poll() {
             for (Deque<QueuedMemoryRequest> queued : List.of(onTime, late)) {
                 for (QueuedMemoryRequest next = queued.pollFirst(); next != null; next = queued.pollFirst()) {
@@ -170,7 +195,11 @@
             connections.sendOwn(
                     backend,
                     dialect.reserve(backend.id(), tokens, queued.request.reservationMs()),
-                    new ShortResponse((status, body) -> onResponse(queued, backend, tokens, status, body)),
+                    ShortResponse.of(
+                            backend,
+                            dialect,
+                            nanoTime,
+                            (status, body) -> onResponse(queued, backend, tokens, status, body)),
                     ShortResponse.TIMEOUT_MS);
         }
 
@@ -182,6 +211,9 @@
                 MemoryReservation reservation = new MemoryReservation(backend, id.get(), tokens);
                 if (queued.isDone()) {
                     release(reservation);
+                } else if (!backend.isUsable()) {
+                    release(reservation);
+                    queueFor(queued.request).addFirst(queued);
                 } else if (tokens > queued.request.tokens()) {
                     release(reservation);
                     sendRequest(queued, backend, queued.request.tokens());
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/QueuedMemoryRequest.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/QueuedMemoryRequest.java
@@ -14,12 +14,14 @@
 public final class QueuedMemoryRequest {
 
     final MemoryRequest request;
+    private final long expiryNanos;
     private final Consumer<@Nullable MemoryReservation> listener;
     private @Nullable ScheduledFuture<?> timer;
     private boolean isDone;
 
-    QueuedMemoryRequest(MemoryRequest request, Consumer<@Nullable MemoryReservation> listener) {
+    QueuedMemoryRequest(MemoryRequest request, long expiryNanos, Consumer<@Nullable MemoryReservation> listener) {
         this.request = request;
+        this.expiryNanos = expiryNanos;
         this.listener = listener;
     }
 
@@ -27,6 +29,11 @@
         timer = started;
     }
 
+    /** Returns whether the wait time will have expired after the given time. */
+    boolean isExpiredIn(long nanos, long nowNanos) {
+        return nanos > expiryNanos - nowNanos;
+    }
+
     boolean isDone() {
         return isDone;
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/RoleChangeSender.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/RoleChangeSender.java
@@ -140,7 +140,11 @@
                 now - leaderSinceNanos >= MIN_LEADERSHIP_NANOS && now - rolesStableSinceNanos >= MIN_STABLE_LIST_NANOS;
         commandNanos.values().removeIf(sentNanos -> now - sentNanos >= COMMAND_VALID_NANOS);
         if (isSettled) {
-            RolePlanner.next(entries, commandNanos.keySet(), decodePerPrefill)
+            List<BackendEntry> usable = table.all().stream()
+                    .filter(Backend::isUsable)
+                    .map(Backend::entry)
+                    .toList();
+            RolePlanner.next(usable, commandNanos.keySet(), decodePerPrefill)
                     .forEach(change -> requestFencingNumber(change, now));
         }
     }
@@ -167,11 +171,11 @@
 
     private void sendCommand(RoleChange change, @Nullable CommandResult result, @Nullable Throwable failure) {
         Optional<Backend> backend = table.all().stream()
-                .filter(listed -> listed.id().equals(change.backendServer()))
+                .filter(listed -> listed.id().equals(change.backendServer()) && listed.isUsable())
                 .findFirst();
         if (result == null || !result.getErrorCode().isEmpty() || backend.isEmpty() || !isLeader.getAsBoolean()) {
             LOG.infof(
-                    "Backend server %s gets no role change (no fencing number, not listed or not leader): %s",
+                    "Backend server %s gets no role change (no fencing number, not usable or not leader): %s",
                     change.backendServer(), failure);
             return;
         }
@@ -182,9 +186,13 @@
         connections.sendOwn(
                 backend.get(),
                 dialect.changeRole(change.backendServer(), change.role(), instance.value(), number),
-                new ShortResponse((status, body) -> LOG.infof(
-                        "Backend server %s responded to the role change with status %d",
-                        change.backendServer(), status)),
+                ShortResponse.of(
+                        backend.get(),
+                        dialect,
+                        nanoTime,
+                        (status, body) -> LOG.infof(
+                                "Backend server %s responded to the role change with status %d",
+                                change.backendServer(), status)),
                 COMMAND_TIMEOUT_MS);
     }
 }
