Send nothing to a server for the time that its refusal states

Callers were sent again and again to backend servers that had refused a request with 503 and stated for how long they want no other one: the field was not read, and the avoidance after a refusal ends after 50 ms and at once if no other server is left. If no server that fits returns while a request may wait, its caller is refused at once with that time.

--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/ResponseFields.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/ResponseFields.java
@@ -12,6 +12,7 @@
  * @param isSigned whether the response has the signature of the backend server
  * @param backendServer id of the responding backend server; null if not stated
  * @param isLeaving whether the responding backend server states that it leaves
+ * @param retryAfterMs time in milliseconds for which the responding backend server wants no request, 0 if not stated
  * @param load load of the backend server; null if not stated
  * @param idleTimeoutMs time in milliseconds after which an idle connection is closed, -1 if not stated
  */
@@ -21,5 +22,6 @@
         boolean isSigned,
         @Nullable String backendServer,
         boolean isLeaving,
+        long retryAfterMs,
         @Nullable BackendLoad load,
         long idleTimeoutMs) {}
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 import io.chivehollow.base.Identifiers;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
@@ -36,6 +37,8 @@
     /** A full backend server has capacity again after about the time of one request. */
     private static final long FULL_NANOS = 50_000_000L;
 
+    private static final long MAX_ROUNDING_NANOS = 999_999;
+
     final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
 
     /** The idle connections of the router's own calls. */
@@ -101,7 +104,21 @@
         return entry.role();
     }
 
-    /** Returns whether this run may get new work, which must be checked again before each request is sent. */
+    /** Returns whether this run may get new work now, which must be checked again before each request is sent. */
+    public boolean mayReceive(long nowNanos) {
+        return isUsable() && notice.heldNanos(nowNanos) == 0;
+    }
+
+    /** Returns the time in milliseconds for which this run still wants no requests, or 0. */
+    public long heldMs(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(notice.heldNanos(nowNanos) + MAX_ROUNDING_NANOS);
+    }
+
+    long heldNanos(long nowNanos) {
+        return notice.heldNanos(nowNanos);
+    }
+
+    /** Returns whether this run may get new work once it wants some. */
     public boolean isUsable() {
         return isListed && !isReplaced && !entry.isDraining() && !isLeaving();
     }
@@ -119,9 +136,15 @@
             onLoad(reported, nowNanos);
         }
         String sender = fields.backendServer();
-        if (fields.isLeaving() && (sender == null || Identifiers.isIdentifier(sender))) {
+        boolean hasNotice = fields.isLeaving() || fields.retryAfterMs() > 0;
+        if (hasNotice && (sender == null || Identifiers.isIdentifier(sender))) {
             ServerNotice stated = sender == null ? notice : notices.of(sender);
-            stated.onLeaving();
+            if (fields.isLeaving()) {
+                stated.onLeaving();
+            }
+            if (fields.retryAfterMs() > 0) {
+                stated.onHeld(fields.retryAfterMs(), nowNanos);
+            }
         }
         return fields;
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
@@ -196,15 +196,16 @@
             String service, boolean isMemoryNeeded, Predicate<FailureDomain> isOutOfService, long nowNanos) {
         Set<Role> roles = isMemoryNeeded ? MEMORY_ROLES : RUN_ROLES;
         boolean hasLeaving = false;
+        long shortestNanos = NEVER_NANOS;
         for (Backend backend : table.all()) {
             if (roles.contains(backend.role()) && backend.entry().service().equals(service)) {
                 if (backend.isUsable() && !isOutOfService.test(backend.entry().domain())) {
-                    return 0;
+                    shortestNanos = Math.min(shortestNanos, backend.heldNanos(nowNanos));
                 }
                 hasLeaving |= backend.isLeaving();
             }
         }
-        return hasLeaving ? NEVER_NANOS : 0;
+        return shortestNanos == NEVER_NANOS && !hasLeaving ? 0 : shortestNanos;
     }
 
     private List<Backend> candidates(
@@ -216,7 +217,7 @@
         List<Backend> usable = new ArrayList<>();
         for (Backend backend : table.all()) {
             if (roles.contains(backend.role())
-                    && backend.isUsable()
+                    && backend.mayReceive(nowNanos)
                     && backend.entry().service().equals(service)
                     && !excluded.contains(backend.id())
                     && !isOutOfService.test(backend.entry().domain())) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ServerChanges.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ServerChanges.java
@@ -11,8 +11,14 @@
     ServerChanges NONE = new ServerChanges() {
         @Override
         public void onLeaving() {}
+
+        @Override
+        public void onHeld() {}
     };
 
     /** Called once for each run of a backend server that states that it leaves. */
     void onLeaving();
+
+    /** Called when a backend server states for how long it wants no requests. */
+    void onHeld();
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -9,6 +9,7 @@
 import io.chivehollow.base.FailureDomain;
 import io.chivehollow.base.TeamId;
 import io.chivehollow.coordination.forwarding.backend.Backend;
+import io.chivehollow.coordination.forwarding.backend.BackendSelector;
 import io.chivehollow.coordination.forwarding.flow.PrefillStage.PrefilledPrompt;
 import io.chivehollow.coordination.forwarding.reserve.MemoryReservation;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -55,6 +56,8 @@
 
     private static final long MS_TO_NANOS = 1_000_000;
 
+    private static final long NEVER_MS = BackendSelector.NEVER_NANOS / MS_TO_NANOS;
+
     private final ForwardServices services;
     private final ForwardRequest request;
     private final CallerSink sink;
@@ -143,7 +146,8 @@
         }
         Admission.AdmittedRequest accepted = admitted();
         MemoryReservation reserved = memory.reservation();
-        if (reserved != null && !reserved.backend().isUsable()) {
+        if (reserved != null
+                && !reserved.backend().mayReceive(services.nanoTime().getAsLong())) {
             trace.addTimedStep("backend server " + reserved.backend().id() + " gets no more requests");
             memory.endReservation(false);
             hasLostReservation = true;
@@ -217,7 +221,7 @@
     private void reserveMemory(Admission.AdmittedRequest accepted) {
         if (run.history().isExhausted()) {
             fail(ErrorCode.OVERLOADED, "Backend servers are at capacity");
-        } else if (unavailableMs() > remainingMs()) {
+        } else if (isUnavailableFor(memory.remainingWaitMs(accepted, hasEarlierAttempt()))) {
             refuseUnavailable();
         } else if (!run.history().hasAttempt()
                 && services.selector()
@@ -228,11 +232,7 @@
             waitForPrefill(accepted);
         } else {
             memory.requestMemory(
-                    accepted,
-                    run.history().hasAttempt() || hasLostReservation,
-                    this::isOutOfService,
-                    this::proceed,
-                    this::refuseWithoutMemory);
+                    accepted, hasEarlierAttempt(), this::isOutOfService, this::proceed, this::refuseWithoutMemory);
         }
     }
 
@@ -279,25 +279,45 @@
                         accepted.route().getGeneration(),
                         this::isOutOfService,
                         services.nanoTime().getAsLong());
-        return nanos / MS_TO_NANOS;
+        return nanos == 0 ? 0 : nanos / MS_TO_NANOS + 1;
+    }
+
+    /** Returns whether no backend server accepts work within the given time or before the deadline. */
+    private boolean isUnavailableFor(long waitMs) {
+        return unavailableMs() > Math.max(0, Math.min(waitMs, remainingMs()));
+    }
+
+    private boolean hasEarlierAttempt() {
+        return run.history().hasAttempt() || hasLostReservation;
     }
 
     /** Refuses the request because all backend servers of the service have stated that they want no work. */
     private void refuseUnavailable() {
+        long heldMs = unavailableMs();
+        boolean isLeaving = heldMs > NEVER_MS;
         refuseNotRun(
-                "All backend servers of the service leave",
-                MIN_REPLACEMENT_MS + ThreadLocalRandom.current().nextLong(RETRY_SPREAD_MS));
+                isLeaving
+                        ? "All backend servers of the service leave"
+                        : "No backend server of the service wants a request for " + heldMs + " ms",
+                (isLeaving ? MIN_REPLACEMENT_MS : heldMs)
+                        + ThreadLocalRandom.current().nextLong(RETRY_SPREAD_MS));
     }
 
     private void waitOrRefuse(String reason) {
-        if (unavailableMs() > remainingMs()) {
+        long waitNanos = admitted().route().getTargetMs() * MS_TO_NANOS / SERVER_WAIT_DIVISOR - elapsedNanos();
+        if (isUnavailableFor(waitNanos / MS_TO_NANOS)) {
             refuseUnavailable();
             return;
         }
-        boolean mayWait = elapsedNanos() < admitted().route().getTargetMs() * MS_TO_NANOS / SERVER_WAIT_DIVISOR;
+        long heldMs = unavailableMs();
+        boolean mayWait = waitNanos > 0;
         if (mayWait && !run.history().isExhausted()) {
             openAttempt.forgetTriedServers();
-            services.loop().schedule(this::proceed, POLL_PAUSE_MS, TimeUnit.MILLISECONDS);
+            // Waiting requests return one after another, and not all in the moment in which a server accepts them.
+            long pauseMs = heldMs == 0
+                    ? POLL_PAUSE_MS
+                    : heldMs + ThreadLocalRandom.current().nextLong(POLL_PAUSE_MS);
+            services.loop().schedule(this::proceed, pauseMs, TimeUnit.MILLISECONDS);
         } else {
             fail(ErrorCode.OVERLOADED, reason);
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
@@ -43,6 +43,11 @@
         registry.counter(PREFIX + "servers_leaving").inc();
     }
 
+    @Override
+    public void onHeld() {
+        registry.counter(PREFIX + "servers_held").inc();
+    }
+
     void onRetry(String reason) {
         registry.counter(PREFIX + "repeats." + reason).inc();
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
@@ -63,10 +63,8 @@
             Predicate<FailureDomain> isOutOfService,
             Runnable onGranted,
             Consumer<String> onRefused) {
-        boolean isLate = isCallerRetry(admitted)
-                || hasEarlierAttempt && elapsedMs() > admitted.route().getTargetMs();
-        // The time of a failed attempt was not spent on waiting.
-        long maxWaitMs = maxWaitMs(admitted, isLate) - (hasEarlierAttempt ? 0 : elapsedMs());
+        boolean isLate = isLate(admitted, hasEarlierAttempt);
+        long maxWaitMs = remainingWaitMs(admitted, hasEarlierAttempt);
         EngineEstimates estimates = services.selector().estimates(admitted.service());
         if (!hasEarlierAttempt) {
             estimates.onExpectedOutput(request.fields().expectedOutputTokens());
@@ -92,6 +90,17 @@
         });
     }
 
+    /** Returns the time for which the request may wait for memory from now on; see {@link #requestMemory}. */
+    long remainingWaitMs(Admission.AdmittedRequest admitted, boolean hasEarlierAttempt) {
+        // The time of a failed attempt was not spent on waiting.
+        return maxWaitMs(admitted, isLate(admitted, hasEarlierAttempt)) - (hasEarlierAttempt ? 0 : elapsedMs());
+    }
+
+    private boolean isLate(Admission.AdmittedRequest admitted, boolean hasEarlierAttempt) {
+        return isCallerRetry(admitted)
+                || hasEarlierAttempt && elapsedMs() > admitted.route().getTargetMs();
+    }
+
     /** Returns whether a request that has not been sent yet may continue to wait. */
     boolean mayWait(Admission.AdmittedRequest admitted) {
         return elapsedMs() < maxWaitMs(admitted, isCallerRetry(admitted));
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
@@ -117,6 +117,15 @@
         PrefilledPrompt unused = result;
         result = null;
         if (unused != null) {
+            release(unused);
+        }
+    }
+
+    /** A server that wants no requests gets the release later, or not at all if the result expires before. */
+    private void release(PrefilledPrompt unused) {
+        long now = services.nanoTime().getAsLong();
+        long heldMs = unused.backend().heldMs(now);
+        if (heldMs == 0) {
             services.connections()
                     .sendOwn(
                             unused.backend(),
@@ -130,6 +139,8 @@
                                     services.nanoTime(),
                                     (status, body) -> trace.addStep("prefill freed")),
                             ShortResponse.TIMEOUT_MS);
+        } else if (TimeUnit.MILLISECONDS.toNanos(heldMs) < unused.expiryNanos() - now) {
+            services.loop().schedule(() -> release(unused), heldMs, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -91,8 +91,19 @@
         return queued;
     }
 
-    /** Releases a reservation that is not used. */
+    /**
+     * Releases a reservation that is not used. A backend server that wants no requests gets the release later, or not
+     * at all if the reservation expires before.
+     */
     public void release(MemoryReservation reservation) {
+        long now = nanoTime.getAsLong();
+        long heldMs = reservation.backend().heldMs(now);
+        if (heldMs > 0) {
+            if (TimeUnit.MILLISECONDS.toNanos(heldMs) < reservation.expiryNanos() - now) {
+                loop.schedule(() -> release(reservation), heldMs, TimeUnit.MILLISECONDS);
+            }
+            return;
+        }
         connections.sendOwn(
                 reservation.backend(),
                 dialect.releaseReservation(reservation.backend().id(), reservation.id()),
@@ -208,10 +219,14 @@
             backend.onReserveEnd(tokens);
             Optional<String> id = status == OK ? dialect.readReservation(body) : Optional.empty();
             if (id.isPresent()) {
-                MemoryReservation reservation = new MemoryReservation(backend, id.get(), tokens);
+                MemoryReservation reservation = new MemoryReservation(
+                        backend,
+                        id.get(),
+                        tokens,
+                        nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(queued.request.reservationMs()));
                 if (queued.isDone()) {
                     release(reservation);
-                } else if (!backend.isUsable()) {
+                } else if (!backend.mayReceive(nanoTime.getAsLong())) {
                     release(reservation);
                     queueFor(queued.request).addFirst(queued);
                 } else if (tokens > queued.request.tokens()) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/RoleChangeSender.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/RoleChangeSender.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -144,7 +146,12 @@
                     .filter(Backend::isUsable)
                     .map(Backend::entry)
                     .toList();
-            RolePlanner.next(usable, commandNanos.keySet(), decodePerPrefill)
+            Set<String> unavailable = new HashSet<>(commandNanos.keySet());
+            table.all().stream()
+                    .filter(backend -> !backend.mayReceive(now))
+                    .map(Backend::id)
+                    .forEach(unavailable::add);
+            RolePlanner.next(usable, unavailable, decodePerPrefill)
                     .forEach(change -> requestFencingNumber(change, now));
         }
     }
@@ -171,7 +178,7 @@
 
     private void sendCommand(RoleChange change, @Nullable CommandResult result, @Nullable Throwable failure) {
         Optional<Backend> backend = table.all().stream()
-                .filter(listed -> listed.id().equals(change.backendServer()) && listed.isUsable())
+                .filter(listed -> listed.id().equals(change.backendServer()) && listed.mayReceive(nanoTime.getAsLong()))
                 .findFirst();
         if (result == null || !result.getErrorCode().isEmpty() || backend.isEmpty() || !isLeader.getAsBoolean()) {
             LOG.infof(
--- a/src/main/java/io/chivehollow/coordination/forwarding/stage/RolePlanner.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/stage/RolePlanner.java
@@ -47,7 +47,8 @@
      * Returns the role changes to be ordered now.
      *
      * @param entries the listed backend servers
-     * @param changing ids of servers that were ordered to change to decode and may not have done so yet
+     * @param changing ids of servers that were ordered to change to decode and may not have done so yet, and of servers
+     *     that want no commands at present
      * @param decodePerPrefill decode servers that one prefill server of a service keeps busy, 0 if not known
      */
     public static List<RoleChange> next(
