Do not queue a processed prompt again after its reservation is lost

Callers whose decode server left after the prefill were refused as "All prefill servers are busy" though their prompt had been processed: only requests with an earlier run passed by that wait. A lost reservation now counts as well.

Evidence: the second case of LeavingServerTest.reservationIsNotUsedIfTheServerLeavesDuringThePrefill failed before (503 after 0.48 s) and passes now, twice in the whole class. The class loads the request path before its tests, as GenerationForwardingTest does: leavingPrefillServerGetsNoFurtherPrompt failed once in nine runs, at a load of 22 on 8 cores (no complete stream after 0.95 s; the cause is not traced).

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -223,7 +223,7 @@
             fail(ErrorCode.OVERLOADED, "Backend servers are at capacity");
         } else if (isUnavailableFor(memory.remainingWaitMs(accepted, hasEarlierAttempt()))) {
             refuseUnavailable();
-        } else if (!run.history().hasAttempt()
+        } else if (!hasEarlierAttempt()
                 && services.selector()
                         .isPrefillBusy(
                                 accepted.promptDemand(request),
