--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -2,12 +2,17 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
+import io.chivehollow.base.Identifiers;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
 import io.chivehollow.coordination.forwarding.adapter.BackendLoad;
+import io.chivehollow.coordination.forwarding.adapter.Dialect;
+import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -32,6 +37,8 @@
     /** A full backend server has capacity again after about the time of one request. */
     private static final long FULL_NANOS = 50_000_000L;
 
+    private static final long MAX_ROUNDING_NANOS = 999_999;
+
     final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
 
     /** The idle connections of the router's own calls. */
@@ -42,6 +49,8 @@
     RunWitness witness;
 
     private final EngineEstimates estimates;
+    private final ServerNotices notices;
+    private final ServerNotice notice;
     private final PromptQueue promptQueue;
     private BackendEntry entry;
     private long coldEndNanos = Long.MIN_VALUE / 2;
@@ -59,9 +68,11 @@
     private boolean isListed = true;
     private boolean isReplaced;
 
-    Backend(BackendEntry entry, EngineEstimates estimates, long nowNanos) {
+    Backend(BackendEntry entry, EngineEstimates estimates, ServerNotices notices, long nowNanos) {
         this.entry = entry;
         this.estimates = estimates;
+        this.notices = notices;
+        this.notice = notices.of(entry.id());
         this.promptQueue = new PromptQueue(estimates);
         this.lastColdSendNanos = nowNanos - Long.MAX_VALUE / 4;
         update(entry, nowNanos);
@@ -101,8 +112,49 @@
         return entry.role();
     }
 
-    boolean isUsable() {
-        return isListed && !isReplaced && !entry.isDraining();
+    /** Returns whether this run may get new work now, which must be checked again before each request is sent. */
+    public boolean mayReceive(long nowNanos) {
+        return isUsable() && notice.heldNanos(nowNanos) == 0;
+    }
+
+    /** Returns the time in milliseconds for which this run still wants no requests, or 0. */
+    public long heldMs(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(notice.heldNanos(nowNanos) + MAX_ROUNDING_NANOS);
+    }
+
+    long heldNanos(long nowNanos) {
+        return notice.heldNanos(nowNanos);
+    }
+
+    /** Returns whether this run may get new work once it wants some. */
+    public boolean isUsable() {
+        return isListed && !isReplaced && !entry.isDraining() && !isLeaving();
+    }
+
+    /** Returns whether this run has stated that it leaves. */
+    public boolean isLeaving() {
+        return notice.isLeaving();
+    }
+
+    /** Reads the head of a response from the address of this run, and records what the server states about itself. */
+    public ResponseFields readHead(Dialect dialect, HttpResponse head, long nowNanos) {
+        ResponseFields fields = dialect.readResponse(head.status().code(), head.headers());
+        BackendLoad reported = fields.load();
+        if (reported != null) {
+            onLoad(reported, nowNanos);
+        }
+        String sender = fields.backendServer();
+        boolean hasNotice = fields.isLeaving() || fields.retryAfterMs() > 0;
+        if (hasNotice && (sender == null || Identifiers.isIdentifier(sender))) {
+            ServerNotice stated = sender == null ? notice : notices.of(sender);
+            if (fields.isLeaving()) {
+                stated.onLeaving();
+            }
+            if (fields.retryAfterMs() > 0) {
+                stated.onHeld(fields.retryAfterMs(), nowNanos);
+            }
+        }
+        return fields;
     }
 
     /** Returns the idle timeout of connections that the server stated last, in milliseconds, or -1 if none. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -9,6 +9,7 @@
 import io.chivehollow.base.FailureDomain;
 import io.chivehollow.base.TeamId;
 import io.chivehollow.coordination.forwarding.backend.Backend;
+import io.chivehollow.coordination.forwarding.backend.BackendSelector;
 import io.chivehollow.coordination.forwarding.flow.PrefillStage.PrefilledPrompt;
 import io.chivehollow.coordination.forwarding.reserve.MemoryReservation;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -42,6 +43,12 @@
      */
     private static final long MEMORY_RETRY_SPREAD_MS = 1_500;
 
+    /** Shortest retry time if all backend servers leave; new ones are found in the list, which is read each second. */
+    private static final long MIN_REPLACEMENT_MS = 1_000;
+
+    /** Random part of the retry time if no backend server accepts work, so that not all callers return together. */
+    private static final long RETRY_SPREAD_MS = 500;
+
     /** Retry time for prompts that may be tried again after the first pause of the crash ledger. */
     private static final long BLOCKED_RETRY_MS = 30_000;
 
@@ -49,6 +56,8 @@
 
     private static final long MS_TO_NANOS = 1_000_000;
 
+    private static final long NEVER_MS = BackendSelector.NEVER_NANOS / MS_TO_NANOS;
+
     private final ForwardServices services;
     private final ForwardRequest request;
     private final CallerSink sink;
@@ -63,6 +72,7 @@
     private @Nullable ScheduledFuture<?> timeout;
     private long endNanos;
     private boolean isTrial;
+    private boolean hasLostReservation;
     private boolean isEnded;
 
     private ForwardFlow(ForwardServices services, ForwardRequest request, CallerSink sink, Runnable onEnded) {
@@ -136,7 +146,13 @@
         }
         Admission.AdmittedRequest accepted = admitted();
         MemoryReservation reserved = memory.reservation();
-        if (reserved != null) {
+        if (reserved != null
+                && !reserved.backend().mayReceive(services.nanoTime().getAsLong())) {
+            trace.addTimedStep("backend server " + reserved.backend().id() + " gets no more requests");
+            memory.endReservation(false);
+            hasLostReservation = true;
+            reserveMemory(accepted);
+        } else if (reserved != null) {
             proceedWithMemory(accepted, reserved);
         } else if (accepted.route().getGeneration()) {
             reserveMemory(accepted);
@@ -205,7 +221,9 @@
     private void reserveMemory(Admission.AdmittedRequest accepted) {
         if (run.history().isExhausted()) {
             fail(ErrorCode.OVERLOADED, "Backend servers are at capacity");
-        } else if (!run.history().hasAttempt()
+        } else if (isUnavailableFor(memory.remainingWaitMs(accepted, hasEarlierAttempt()))) {
+            refuseUnavailable();
+        } else if (!hasEarlierAttempt()
                 && services.selector()
                         .isPrefillBusy(
                                 accepted.promptDemand(request),
@@ -214,7 +232,7 @@
             waitForPrefill(accepted);
         } else {
             memory.requestMemory(
-                    accepted, run.history().hasAttempt(), this::isOutOfService, this::proceed, this::refuseOverloaded);
+                    accepted, hasEarlierAttempt(), this::isOutOfService, this::proceed, this::refuseWithoutMemory);
         }
     }
 
@@ -232,19 +250,74 @@
      * after the burst has ended.
      */
     private void refuseOverloaded(String message) {
+        refuseNotRun(message, MIN_MEMORY_RETRY_MS + ThreadLocalRandom.current().nextLong(MEMORY_RETRY_SPREAD_MS));
+    }
+
+    /** Refuses the request with the retry time, or ends it with an error if it may have run. */
+    private void refuseNotRun(String message, long retryMs) {
         if (run.isRunPossible() || run.relay().hasStarted()) {
             fail(ErrorCode.OVERLOADED, message);
-            return;
+        } else {
+            refuse(Refusal.retryAfter(ErrorCode.OVERLOADED, message, retryMs));
         }
-        long retryMs = MIN_MEMORY_RETRY_MS + ThreadLocalRandom.current().nextLong(MEMORY_RETRY_SPREAD_MS);
-        refuse(Refusal.retryAfter(ErrorCode.OVERLOADED, message, retryMs));
+    }
+
+    private void refuseWithoutMemory(String message) {
+        if (unavailableMs() > 0) {
+            refuseUnavailable();
+        } else {
+            refuseOverloaded(message);
+        }
+    }
+
+    /** Returns the time until a backend server of the service accepts work again, as far as the servers state it. */
+    private long unavailableMs() {
+        Admission.AdmittedRequest accepted = admitted();
+        long nanos = services.selector()
+                .unavailableNanos(
+                        accepted.service(),
+                        accepted.route().getGeneration(),
+                        this::isOutOfService,
+                        services.nanoTime().getAsLong());
+        return nanos == 0 ? 0 : nanos / MS_TO_NANOS + 1;
+    }
+
+    /** Returns whether no backend server accepts work within the given time or before the deadline. */
+    private boolean isUnavailableFor(long waitMs) {
+        return unavailableMs() > Math.max(0, Math.min(waitMs, remainingMs()));
+    }
+
+    private boolean hasEarlierAttempt() {
+        return run.history().hasAttempt() || hasLostReservation;
+    }
+
+    /** Refuses the request because all backend servers of the service have stated that they want no work. */
+    private void refuseUnavailable() {
+        long heldMs = unavailableMs();
+        boolean isLeaving = heldMs > NEVER_MS;
+        refuseNotRun(
+                isLeaving
+                        ? "All backend servers of the service leave"
+                        : "No backend server of the service wants a request for " + heldMs + " ms",
+                (isLeaving ? MIN_REPLACEMENT_MS : heldMs)
+                        + ThreadLocalRandom.current().nextLong(RETRY_SPREAD_MS));
     }
 
     private void waitOrRefuse(String reason) {
-        boolean mayWait = elapsedNanos() < admitted().route().getTargetMs() * MS_TO_NANOS / SERVER_WAIT_DIVISOR;
+        long waitNanos = admitted().route().getTargetMs() * MS_TO_NANOS / SERVER_WAIT_DIVISOR - elapsedNanos();
+        if (isUnavailableFor(waitNanos / MS_TO_NANOS)) {
+            refuseUnavailable();
+            return;
+        }
+        long heldMs = unavailableMs();
+        boolean mayWait = waitNanos > 0;
         if (mayWait && !run.history().isExhausted()) {
             openAttempt.forgetTriedServers();
-            services.loop().schedule(this::proceed, POLL_PAUSE_MS, TimeUnit.MILLISECONDS);
+            // Waiting requests return one after another, and not all in the moment in which a server accepts them.
+            long pauseMs = heldMs == 0
+                    ? POLL_PAUSE_MS
+                    : heldMs + ThreadLocalRandom.current().nextLong(POLL_PAUSE_MS);
+            services.loop().schedule(this::proceed, pauseMs, TimeUnit.MILLISECONDS);
         } else {
             fail(ErrorCode.OVERLOADED, reason);
         }
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -82,7 +82,8 @@
 
     /** Adds a request; the listener receives its reservation, or null if the wait time has expired. */
     public QueuedMemoryRequest add(MemoryRequest request, Consumer<@Nullable MemoryReservation> listener) {
-        QueuedMemoryRequest queued = new QueuedMemoryRequest(request, listener);
+        long expiryNanos = nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(request.maxWaitMs());
+        QueuedMemoryRequest queued = new QueuedMemoryRequest(request, expiryNanos, listener);
         ServiceQueue queue = queues.computeIfAbsent(request.service(), service -> new ServiceQueue());
         queued.setTimer(loop.schedule(() -> queued.complete(null), request.maxWaitMs(), TimeUnit.MILLISECONDS));
         queue.queueFor(request).addLast(queued);
@@ -90,13 +91,28 @@
         return queued;
     }
 
-    /** Releases a reservation that is not used. */
+    /**
+     * Releases a reservation that is not used. A backend server that wants no requests gets the release later, or not
+     * at all if the reservation expires before.
+     */
     public void release(MemoryReservation reservation) {
+        long now = nanoTime.getAsLong();
+        long heldMs = reservation.backend().heldMs(now);
+        if (heldMs > 0) {
+            if (TimeUnit.MILLISECONDS.toNanos(heldMs) < reservation.expiryNanos() - now) {
+                loop.schedule(() -> release(reservation), heldMs, TimeUnit.MILLISECONDS);
+            }
+            return;
+        }
         connections.sendOwn(
                 reservation.backend(),
                 dialect.releaseReservation(reservation.backend().id(), reservation.id()),
-                new ShortResponse((status, body) ->
-                        LOG.debugf("Response to the release of a memory reservation: status %d", status)),
+                ShortResponse.of(
+                        reservation.backend(),
+                        dialect,
+                        nanoTime,
+                        (status, body) ->
+                                LOG.debugf("Response to the release of a memory reservation: status %d", status)),
                 ShortResponse.TIMEOUT_MS);
     }
 
@@ -133,6 +149,7 @@
                         next.request.service(), tokens, next.request.isOutOfService(), nanoTime.getAsLong());
                 if (backend.isEmpty()) {
                     queueFor(next.request).addFirst(next);
+                    refuseUnservable();
                     pause();
                     return;
                 }
@@ -140,6 +157,25 @@
             }
         }
 
+        /** Refuses the queued requests for which no backend server can return before their wait time expires. */
+        private void refuseUnservable() {
+            long now = nanoTime.getAsLong();
+            for (Deque<QueuedMemoryRequest> queued : List.of(onTime, late)) {
+                queued.removeIf(next -> {
+                    boolean isUnservable = next.isExpiredIn(unavailableNanos(next.request, now), now);
+                    if (isUnservable) {
+                        // The listener may add requests to the queue or retry the queued ones.
+                        loop.execute(() -> next.complete(null));
+                    }
+                    return isUnservable;
+                });
+            }
+        }
+
+        private long unavailableNanos(MemoryRequest request, long now) {
+            return selector.unavailableNanos(request.service(), true, request.isOutOfService(), now);
+        }
+
         private @Nullable QueuedMemoryRequest poll() {
             for (Deque<QueuedMemoryRequest> queued : List.of(onTime, late)) {
                 for (QueuedMemoryRequest next = queued.pollFirst(); next != null; next = queued.pollFirst()) {
@@ -170,7 +206,11 @@
             connections.sendOwn(
                     backend,
                     dialect.reserve(backend.id(), tokens, queued.request.reservationMs()),
-                    new ShortResponse((status, body) -> onResponse(queued, backend, tokens, status, body)),
+                    ShortResponse.of(
+                            backend,
+                            dialect,
+                            nanoTime,
+                            (status, body) -> onResponse(queued, backend, tokens, status, body)),
                     ShortResponse.TIMEOUT_MS);
         }
 
@@ -179,9 +219,16 @@
             backend.onReserveEnd(tokens);
             Optional<String> id = status == OK ? dialect.readReservation(body) : Optional.empty();
             if (id.isPresent()) {
-                MemoryReservation reservation = new MemoryReservation(backend, id.get(), tokens);
+                MemoryReservation reservation = new MemoryReservation(
+                        backend,
+                        id.get(),
+                        tokens,
+                        nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(queued.request.reservationMs()));
                 if (queued.isDone()) {
                     release(reservation);
+                } else if (!backend.mayReceive(nanoTime.getAsLong())) {
+                    release(reservation);
+                    queueFor(queued.request).addFirst(queued);
                 } else if (tokens > queued.request.tokens()) {
                     release(reservation);
                     sendRequest(queued, backend, queued.request.tokens());
