Look at what a server states once more before a request is written

A server that leaves or wants no requests for a time can say so while a request waits for a connection, and in an interim response; the request is then sent elsewhere, and an interim response counts as well. Responses to probes are read, too. A server that wants no requests gets no renewal and at most one probe in that time.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 
@@ -113,6 +114,11 @@
         }
     }
 
+    /** Records what the server states about itself in an interim response. */
+    void readInterim(HttpResponse head) {
+        connections.readHead(backend, head);
+    }
+
     /** Leaves the connection to the listener instead of the idle connections if it can be reused. */
     void keepChannel() {
         isKept = true;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 
 import io.chivehollow.coordination.forwarding.adapter.Dialect;
+import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.backend.Backend.IdleConnection;
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
 import io.netty.bootstrap.Bootstrap;
@@ -19,6 +20,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -56,6 +58,8 @@
     /** Time in milliseconds in which the system closes the port of a crashed server after its first connection. */
     private static final int CRASH_MS = 20;
 
+    private static final String REFUSED_REASON = "the server wants no requests";
+
     private final EventLoop loop;
     private final LongSupplier nanoTime;
     private final Dialect dialect;
@@ -128,6 +132,11 @@
             request.release();
             return;
         }
+        if (isRefused(call)) {
+            request.release();
+            call.fail(Failure.NOT_SENT, REFUSED_REASON);
+            return;
+        }
         Backend backend = call.backend;
         Channel idle = takeIdle(call.isOwn ? backend.idleOwnConnections : backend.idleConnections, call);
         if (idle != null) {
@@ -142,12 +151,21 @@
             } else if (call.isEnded()) {
                 request.release();
                 connecting.channel().close();
+            } else if (isRefused(call)) {
+                request.release();
+                returnIdle(backend, connecting.channel(), -1, call.isOwn);
+                call.fail(Failure.NOT_SENT, REFUSED_REASON);
             } else {
                 start(call, connecting.channel(), request);
             }
         });
     }
 
+    /** Returns whether the server has stated, since it was selected, that it wants no request. */
+    private boolean isRefused(BackendCall call) {
+        return !call.isOwn && !call.backend.mayReceive(nanoTime.getAsLong());
+    }
+
     private static void start(BackendCall call, Channel channel, FullHttpRequest request) {
         BackendHandler handler = channel.pipeline().get(BackendHandler.class);
         handler.start(call, request.method());
@@ -192,13 +210,18 @@
             return;
         }
         FullHttpRequest request = dialect.probe();
-        RunProbe probe = new RunProbe(dialect, backend.id(), receiver);
+        RunProbe probe = new RunProbe(this, backend, receiver);
         BackendCall call = newCall(backend, request, probe, true);
         call.keepChannel();
         probe.setCall(call);
         start(call, channel, request);
     }
 
+    /** Reads the head of a response, and records what the server states about itself. */
+    ResponseFields readHead(Backend backend, HttpResponse head) {
+        return backend.readHead(dialect, head, nanoTime.getAsLong());
+    }
+
     /** Returns the time in nanoseconds for which an idle connection may be used. */
     long usableNanos(long statedIdleMs) {
         long idleMs = statedIdleMs < 0 ? DEFAULT_IDLE_MS : statedIdleMs;
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -117,7 +117,9 @@
             }
             int status = head.status().code();
             isInterim = status >= CONTINUE && status < FIRST_FINAL;
-            if (!isInterim) {
+            if (isInterim) {
+                current.readInterim(head);
+            } else {
                 hasHead = true;
                 String statedId = dialect.requestId(head.headers());
                 if (!current.mayBeAnsweredBy(statedId)) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/RunProbe.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/RunProbe.java
@@ -1,6 +1,5 @@
 package io.chivehollow.coordination.forwarding.backend;
 
-import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
@@ -13,15 +12,15 @@
  */
 final class RunProbe implements BackendListener {
 
-    private final Dialect dialect;
-    private final String backendServer;
+    private final BackendConnections connections;
+    private final Backend backend;
     private final Receiver receiver;
     private @Nullable BackendCall call;
     private boolean isExpectedRun;
 
-    RunProbe(Dialect dialect, String backendServer, Receiver receiver) {
-        this.dialect = dialect;
-        this.backendServer = backendServer;
+    RunProbe(BackendConnections connections, Backend backend, Receiver receiver) {
+        this.connections = connections;
+        this.backend = backend;
         this.receiver = receiver;
     }
 
@@ -31,9 +30,8 @@
 
     @Override
     public void onHead(HttpResponse head) {
-        String stated =
-                dialect.readResponse(head.status().code(), head.headers()).backendServer();
-        isExpectedRun = stated == null || stated.equals(backendServer);
+        String stated = connections.readHead(backend, head).backendServer();
+        isExpectedRun = stated == null || stated.equals(backend.id());
         if (!ResponseFraming.isStated(head)) {
             // The head is enough, and the connection ends with the response.
             if (call != null) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/RunWitness.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/RunWitness.java
@@ -52,6 +52,7 @@
     private int observations;
     private boolean isConnecting;
     private boolean isProbing;
+    private boolean hasProbedHeldServer;
     private @Nullable ScheduledFuture<?> renewal;
 
     RunWitness(BackendConnections connections, Backend backend) {
@@ -153,7 +154,10 @@
         if (observations == 0 || !isOpen()) {
             return;
         }
-        if (remainingNanos() > 0) {
+        long heldNanos = backend.heldNanos(connections.nanoTime());
+        if (heldNanos > 0) {
+            renewal = connections.loop().schedule(this::onRenewalTime, heldNanos, TimeUnit.NANOSECONDS);
+        } else if (remainingNanos() > 0) {
             scheduleRenewal();
         } else {
             probe();
@@ -167,7 +171,7 @@
         Channel probed = channel;
         List<Check> checks = openChecks;
         openChecks = new ArrayList<>();
-        if (probed == null || !probed.isActive()) {
+        if (probed == null || !probed.isActive() || !mayProbe()) {
             checks.forEach(check -> check.complete(false));
             return;
         }
@@ -179,6 +183,14 @@
         }
     }
 
+    /** Allows one probe in the time for which the server wants no requests. */
+    private boolean mayProbe() {
+        boolean isHeld = backend.heldNanos(connections.nanoTime()) > 0;
+        boolean isAllowed = !isHeld || !hasProbedHeldServer;
+        hasProbedHeldServer = isHeld;
+        return isAllowed;
+    }
+
     private void sendProbe(Channel probed, @Nullable Channel successor, List<Check> checks) {
         long sentNanos = connections.nanoTime();
         long probedGeneration = generation;
