--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseEnd.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseEnd.java
@@ -5,13 +5,13 @@
  *
  * <table>
  *   <caption>Responses of all kinds</caption>
- *   <tr><th>end marked by</th><th>how the connection ended</th><th>response</th></tr>
- *   <tr><td>length or chunks</td><td>after the last byte, or not at all</td><td>complete</td></tr>
- *   <tr><td>length or chunks</td><td>before the last byte</td><td>incomplete</td></tr>
- *   <tr><td>head, if there is no body</td><td>after the head, or not at all</td><td>complete</td></tr>
- *   <tr><td>content (JSON)</td><td>in order</td><td>complete if its receiver can parse it</td></tr>
- *   <tr><td>connection</td><td>in order</td><td>complete if the run that sent it is alive afterwards</td></tr>
- *   <tr><td>any</td><td>reset, failed write, closed by this process</td><td>incomplete</td></tr>
+ *   <tr><th>end marked by</th><th>server in the list</th><th>how the connection ended</th><th>response</th></tr>
+ *   <tr><td>length, chunks</td><td>any</td><td>after the last byte, or not</td><td>complete</td></tr>
+ *   <tr><td>length, chunks</td><td>any</td><td>before the last byte</td><td>incomplete</td></tr>
+ *   <tr><td>head (no body)</td><td>any</td><td>after the head, or not</td><td>complete</td></tr>
+ *   <tr><td>content (JSON)</td><td>any</td><td>in order</td><td>complete if its receiver can parse it</td></tr>
+ *   <tr><td>connection</td><td>any</td><td>in order</td><td>complete if its run is alive afterwards</td></tr>
+ *   <tr><td>any</td><td>any</td><td>reset, failed write, closed here</td><td>incomplete</td></tr>
  * </table>
  *
  * <p>A stream is also incomplete if it ends within an event, and, if the connection marks its end, if the run has sent
