Apply settings that change before their watch starts

Cause: the watch read the file once more when its thread began and took that text for the one in effect, so a change between the load of the settings and the start of the thread never took effect. Change: the first read compares with the settings in effect. Result: changeBeforeTheWatchStartsIsApplied failed before (no change within 10 s) and passes.

--- a/src/main/java/io/chivehollow/cli/SettingsWatch.java
+++ b/src/main/java/io/chivehollow/cli/SettingsWatch.java
@@ -52,12 +52,6 @@
     }
 
     private void run() {
-        try {
-            lastText = Files.readString(file);
-        } catch (IOException e) {
-            LOG.warnf(
-                    "Cannot reread the settings file when the watch starts; it is read again at the next poll: %s", e);
-        }
         try {
             while (true) {
                 boolean isSignalled = pendingSignals.tryAcquire(POLL_PERIOD_MS, TimeUnit.MILLISECONDS);
@@ -71,14 +65,14 @@
     private void reload(boolean isSignalled) {
         try {
             String newText = Files.readString(file);
-            if (newText.equals(lastText)) {
+            Settings loaded = newText.equals(lastText) ? settings : SettingsLoader.load(file);
+            lastText = newText;
+            if (loaded.equals(settings)) {
                 if (isSignalled) {
                     LOG.info("Settings file reloaded on SIGHUP; no changes");
                 }
                 return;
             }
-            Settings loaded = SettingsLoader.load(file);
-            lastText = newText;
             if (!loaded.replicas().equals(settings.replicas())) {
                 onSeeds.accept(loaded.replicas());
             }
--- a/src/test/java/io/chivehollow/cli/SettingsWatchTest.java
+++ b/src/test/java/io/chivehollow/cli/SettingsWatchTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import io.chivehollow.settings.Settings;
 import io.chivehollow.settings.SettingsLoader;
 import org.testng.annotations.Test;
 import sun.misc.Signal;
@@ -27,6 +28,19 @@
                 + "\"backend_list_address\": \"127.0.0.1:5\"}}";
     }
 
+    /** The file may change after the settings were loaded and before the watch reads it. */
+    @Test
+    public void changeBeforeTheWatchStartsIsApplied() throws IOException, InterruptedException {
+        Path file = Files.createTempFile("settings", ".json");
+        Files.writeString(file, settings("\"127.0.0.1:21\""));
+        Settings loaded = SettingsLoader.load(file);
+        Files.writeString(file, settings("\"127.0.0.1:22\""));
+        BlockingQueue<List<InetSocketAddress>> seeds = new LinkedBlockingQueue<>();
+        SettingsWatch.start(file, loaded, seeds::add);
+        assertEquals(seeds.poll(10_000, TimeUnit.MILLISECONDS), List.of(new InetSocketAddress("127.0.0.1", 22)));
+        Files.delete(file);
+    }
+
     /** SIGHUP is handled immediately; without a handler the Java runtime would end the process of this test. */
     @Test
     public void changedSeedsAreAppliedWithAndWithoutSignal() throws IOException, InterruptedException {
