Keep a retry for requests whose prompt has been processed

Change: a second prefill takes a retry only above a reserve of one. Result: processedPromptsAreRetriedBeforeLostPrefills, 35 processes under lost prefills and lost decode servers: under half of the processed prompts are retried without the reserve, over half with it.

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -201,7 +201,7 @@
                 ? prefill.selectServer(accepted, reserved.backend(), this::isOutOfService)
                 : Optional.empty();
         if (prefillServer.isPresent()
-                && (!prefill.isRetry() || services.retryBudget().tryAcquire(accepted.service()))) {
+                && (!prefill.isRetry() || services.retryBudget().tryAcquireSpare(accepted.service()))) {
             Backend server = prefillServer.get();
             prefill.send(accepted, server, requests(accepted).prefill(server, remainingMs()));
         } else if (prefill.isAbandoned()) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RetryBudget.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RetryBudget.java
@@ -20,6 +20,9 @@
     /** Part of the slack that all processes together may accumulate. */
     private static final double ACCUMULATED_SLACK = 0.55;
 
+    /** Retries that are kept for requests that cannot continue without one; fewer if less may be accumulated. */
+    private static final double RESERVE = 1;
+
     /** Part of the slack that all processes together earn in a window; with the accumulated one below the slack. */
     private static final double EARNED_SLACK = 0.41;
 
@@ -43,8 +46,23 @@
 
     /** Takes one retry from the budget; returns false if there is none. */
     boolean tryAcquire(String service) {
+        return tryAcquire(service, 1);
+    }
+
+    /**
+     * Takes one retry from the budget for a request that can continue without it; returns false if only the reserve is
+     * left.
+     *
+     * <p>A prompt whose prefill server fails can be processed by its decode server. If such prompts use up the budget
+     * while servers crash, requests whose prompt has been processed are refused when their decode server is lost.
+     */
+    boolean tryAcquireSpare(String service) {
+        return tryAcquire(service, Math.min(maxAccumulated(), 1 + RESERVE));
+    }
+
+    private boolean tryAcquire(String service, double minRetries) {
         Balance balance = balance(service);
-        if (balance.retries < 1) {
+        if (balance.retries < minRetries) {
             return false;
         }
         balance.retries -= 1;
--- a/src/test/java/io/chivehollow/coordination/forwarding/flow/RetryBudgetTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/flow/RetryBudgetTest.java
@@ -1,5 +1,8 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.Random;
+import java.util.function.BiPredicate;
+
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -67,4 +70,38 @@
         budget = new RetryBudget(new RetryLimits(0.2, 580, 10), () -> nowNanos, () -> processes);
         assertTrue(acquireAll("s") >= 9 * small);
     }
+
+    /**
+     * Load: for 5 s, 35 processes with 1.3 requests/s each lose two of five prefills and one of eight decode servers.
+     * The lost prefills must not use up the retries of requests whose prompt has been processed.
+     */
+    @Test
+    public void processedPromptsAreRetriedBeforeLostPrefills() {
+        double share = shareOfProcessedPromptsRetried(RetryBudget::tryAcquireSpare);
+        double shareWithoutReserve = shareOfProcessedPromptsRetried(RetryBudget::tryAcquire);
+        assertTrue(share >= 0.5, share + " of the processed prompts are retried");
+        assertTrue(shareWithoutReserve < 0.5, shareWithoutReserve + " are retried without a reserve");
+    }
+
+    private double shareOfProcessedPromptsRetried(BiPredicate<RetryBudget, String> prefillRetry) {
+        Random random = new Random(7);
+        int retried = 0;
+        int lost = 0;
+        for (int process = 0; process < 35 * 20; process++) {
+            RetryBudget shared = new RetryBudget(new RetryLimits(0.2, 96, 10), () -> nowNanos, () -> 35);
+            long endNanos = nowNanos + 5 * SECOND_NANOS;
+            while (nowNanos < endNanos) {
+                nowNanos += (long) (-Math.log(1 - random.nextDouble()) / 1.3 * SECOND_NANOS);
+                shared.onRequest("s");
+                if (random.nextInt(5) < 2) {
+                    prefillRetry.test(shared, "s");
+                }
+                if (random.nextInt(8) == 0) {
+                    lost++;
+                    retried += shared.tryAcquire("s") ? 1 : 0;
+                }
+            }
+        }
+        return (double) retried / lost;
+    }
 }
