Stop only the replica when its disk refuses a write, and reopen it

Cause: every error of the storage halted the process, so that the entrance of a replica with a full disk was lost, also after each restart, for as long as the disk refused writes.

A refused write, sync or change of names (WriteFailedException) now stops the member and its services. Their memory is discarded, since it may be ahead of the disk. Once a second a probe file is written and synced; when that succeeds the log is recovered as after a restart. Recovery writes the last segment again before its sync, because a sync after a failed one may not write what the failed one dropped. A start with such a disk begins in the same state. Damaged or missing content still halts the process.

LogStoreTest.entriesOfFailedSyncAreWrittenAgain: 2 entries instead of 3 after the loss of power. refusedWriteIsRecoveredWhenThereIsSpace: the log was opened although the disk refuses writes. ScenarioTest.leaderWhoseDiskRefusesWritesIsReplaced passed at once: the member itself stopped correctly before.

--- a/src/main/java/io/chivehollow/metrics/OperationsServer.java
+++ b/src/main/java/io/chivehollow/metrics/OperationsServer.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -67,14 +67,14 @@
     /**
      * Starts a server at the address. The caller shuts down the event loops after it has closed the server.
      *
-     * @param isReady returns whether the process is ready to serve
+     * @param readiness returns whether the process is ready to serve
      * @param scrape writes the metrics
      * @param executor runs the scrapes, which would delay other I/O on an event loop
      */
     public static OperationsServer start(
             InetSocketAddress address,
             EventLoopGroup eventLoops,
-            BooleanSupplier isReady,
+            Supplier<Readiness> readiness,
             ScrapeWriter scrape,
             Executor executor) {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -95,7 +95,7 @@
                                 .addLast(new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_BODY_BYTES))
                                 .addLast(new HttpServerKeepAliveHandler())
                                 .addLast(new HttpObjectAggregator(MAX_BODY_BYTES, true))
-                                .addLast(new RequestHandler(isReady, scrape, executor));
+                                .addLast(new RequestHandler(readiness, scrape, executor));
                     }
                 });
         Channel channel = bootstrap.bind(address).syncUninterruptibly().channel();
@@ -117,12 +117,12 @@
     /** Responds to the requests of one connection; used on the connection's event loop. */
     private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
-        private final BooleanSupplier isReady;
+        private final Supplier<Readiness> readiness;
         private final ScrapeWriter scrape;
         private final Executor executor;
 
-        RequestHandler(BooleanSupplier isReady, ScrapeWriter scrape, Executor executor) {
-            this.isReady = isReady;
+        RequestHandler(Supplier<Readiness> readiness, ScrapeWriter scrape, Executor executor) {
+            this.readiness = readiness;
             this.scrape = scrape;
             this.executor = executor;
         }
@@ -140,15 +140,19 @@
             }
             switch (request.uri()) {
                 case "/healthz" -> context.writeAndFlush(response(HttpResponseStatus.OK, PLAIN_TEXT, "ok\n"));
-                case "/readyz" -> context.writeAndFlush(
-                        isReady.getAsBoolean()
-                                ? response(HttpResponseStatus.OK, PLAIN_TEXT, "ready\n")
-                                : response(HttpResponseStatus.SERVICE_UNAVAILABLE, PLAIN_TEXT, "not ready\n"));
+                case "/readyz" -> context.writeAndFlush(readinessResponse());
                 case "/metrics" -> executor.execute(() -> writeMetrics(context));
                 default -> context.writeAndFlush(response(HttpResponseStatus.NOT_FOUND, PLAIN_TEXT, "not found\n"));
             }
         }
 
+        private FullHttpResponse readinessResponse() {
+            Readiness current = readiness.get();
+            HttpResponseStatus status =
+                    current.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+            return response(status, PLAIN_TEXT, current.toText());
+        }
+
         private void writeMetrics(ChannelHandlerContext context) {
             try {
                 context.writeAndFlush(response(HttpResponseStatus.OK, PROMETHEUS_TEXT, scrape.write()));
--- a/src/main/java/io/chivehollow/metrics/ReplicaMetrics.java
+++ b/src/main/java/io/chivehollow/metrics/ReplicaMetrics.java
@@ -65,6 +65,18 @@
         }
     }
 
+    /** Records that the disk has refused a write and that the replica is stopped until it is reopened. */
+    public void onStorageFailed() {
+        registry.counter("replica.storage_failures").inc();
+        set("replica.storage_failed", 1);
+        ROLES.forEach(role -> set(MetricNames.withLabel("replica.role", "role", role), 0));
+    }
+
+    /** Records that the replica runs. */
+    public void onStorageOpened() {
+        set("replica.storage_failed", 0);
+    }
+
     private void set(String name, long value) {
         SettableGauge<Long> gauge = registry.gauge(name);
         gauge.setValue(value);
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -38,12 +38,15 @@
 import io.chivehollow.coordination.sidecar.SidecarRole;
 import io.chivehollow.coordination.sidecar.SidecarServices;
 import io.chivehollow.metrics.OperationsServer;
+import io.chivehollow.metrics.Readiness;
 import io.chivehollow.metrics.ScrapeWriter;
 import io.chivehollow.settings.ForwardingSettings;
 import io.chivehollow.settings.GatewaySettings;
 import io.chivehollow.settings.ReplicaSettings;
 import io.chivehollow.settings.Settings;
 import io.chivehollow.settings.SidecarSettings;
+import io.chivehollow.state.log.DiskFileStore;
+import io.chivehollow.state.log.FileStoreOpener;
 import io.chivehollow.transport.ConnectionPool;
 import io.chivehollow.transport.FrameClient;
 import io.chivehollow.transport.FrameServer;
@@ -68,16 +71,19 @@
     private static final TwoChoicesConfig PLACEMENT = new TwoChoicesConfig(3, 0.06, 1.0);
 
     private final Settings settings;
+    private final FileStoreOpener files;
     private final Deque<AutoCloseable> components = new ArrayDeque<>();
     private final List<BooleanSupplier> readinessChecks = new CopyOnWriteArrayList<>();
     private final MetricRegistry registry = new MetricRegistry();
     private @Nullable OperationsServer operations;
     private volatile @Nullable ReplicaDirectory replicaDirectory;
+    private volatile @Nullable ReplicaRole replicaRole;
     private BooleanSupplier isLeaseHolder = () -> false;
     private volatile boolean isRunning;
 
-    private ChivehollowProcess(Settings settings) {
+    private ChivehollowProcess(Settings settings, FileStoreOpener files) {
         this.settings = settings;
+        this.files = files;
     }
 
     /**
@@ -86,7 +92,11 @@
      * @throws RuntimeException if a role cannot start; the components started before it are closed
      */
     public static ChivehollowProcess start(Settings settings) {
-        ChivehollowProcess process = new ChivehollowProcess(settings);
+        return start(settings, DiskFileStore::open);
+    }
+
+    static ChivehollowProcess start(Settings settings, FileStoreOpener files) {
+        ChivehollowProcess process = new ChivehollowProcess(settings, files);
         try {
             process.startRoles();
             return process;
@@ -103,14 +113,24 @@
             // The operations server is started before the roles, so that it still responds while they are closing.
             Executor executor = task -> resources.scheduler().schedule(0, task);
             operations = register(OperationsServer.start(
-                    metricsAddress, resources.eventLoops(), this::isReady, ScrapeWriter.create(registry), executor));
+                    metricsAddress, resources.eventLoops(), this::readiness, ScrapeWriter.create(registry), executor));
         }
         startRoles(resources);
         isRunning = true;
     }
 
-    private boolean isReady() {
-        return isRunning && readinessChecks.stream().allMatch(BooleanSupplier::getAsBoolean);
+    private Readiness readiness() {
+        boolean isReady = isRunning && readinessChecks.stream().allMatch(BooleanSupplier::getAsBoolean);
+        ReplicaRole role = replicaRole;
+        boolean hasStorageFailed = role != null && role.hasStorageFailed();
+        return new Readiness(isReady, hasStorageFailed ? List.of("replica: " + StoppedReplica.STATE) : List.of());
+    }
+
+    /** Returns whether the replica does not prevent the other roles of this process from serving. */
+    private boolean isReplicaReady(ReplicaRole role) {
+        boolean hasOtherRoles =
+                settings.gateway() != null || settings.sidecar() != null || settings.forwarding() != null;
+        return role.isReady() || (hasOtherRoles && role.hasStorageFailed());
     }
 
     /** Returns the address at which the process serves health and metrics, or empty if no address is set. */
@@ -127,9 +147,10 @@
         replicaDirectory = directory;
         ReplicaSettings replica = settings.replica();
         if (replica != null) {
-            ReplicaRole started = register(
-                    ReplicaRole.start(settings, replica, budgetOptions(), resources, connections, directory, registry));
-            readinessChecks.add(started::isReady);
+            ReplicaRole started = register(ReplicaRole.start(
+                    settings, replica, budgetOptions(), resources, connections, directory, registry, files));
+            replicaRole = started;
+            readinessChecks.add(() -> isReplicaReady(started));
             isLeaseHolder = started::holdsLease;
         }
         GatewaySettings gateway = settings.gateway();
--- a/src/main/java/io/chivehollow/state/consensus/MemberDriver.java
+++ b/src/main/java/io/chivehollow/state/consensus/MemberDriver.java
@@ -382,6 +382,9 @@
                 .completeExceptionally(
                         StateException.mayHaveRun(ErrorCode.SHUTTING_DOWN, "The member is shutting down")));
         pendingOutcomes.clear();
+        // A flush that failed has not run them.
+        completions.forEach(Runnable::run);
+        completions.clear();
         store.close();
     }
 
--- a/src/main/java/io/chivehollow/state/consensus/ReplicatedLogConfig.java
+++ b/src/main/java/io/chivehollow/state/consensus/ReplicatedLogConfig.java
@@ -9,6 +9,8 @@
 import io.chivehollow.base.Clock;
 import io.chivehollow.base.InstanceId;
 import io.chivehollow.base.Scheduler;
+import io.chivehollow.state.log.DiskFileStore;
+import io.chivehollow.state.log.FileStoreOpener;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -27,9 +29,11 @@
  * @param random source of incarnations and election timeouts
  * @param times intervals and timeouts of the protocol
  * @param snapshotEntries number of entries after which a snapshot is taken
- * @param onFatal called with the error after which the member stops; the process must exit then
+ * @param onFatal called with the error after which the member stops permanently; a member that is opened again
+ *     recovers its state from the disk
  * @param policy rules for joining the group and for removing members
  * @param observer receives events about syncs and proposals
+ * @param files opens the data folder
  */
 public record ReplicatedLogConfig(
         InstanceId self,
@@ -44,7 +48,8 @@
         int snapshotEntries,
         Consumer<Throwable> onFatal,
         MembershipPolicy policy,
-        MemberObserver observer) {
+        MemberObserver observer,
+        FileStoreOpener files) {
 
     private static final int DEFAULT_SNAPSHOT_ENTRIES = 10_000;
 
@@ -81,31 +86,41 @@
                 DEFAULT_SNAPSHOT_ENTRIES,
                 onFatal,
                 MembershipPolicy.byOperators(),
-                MemberObserver.none());
+                MemberObserver.none(),
+                DiskFileStore::open);
     }
 
     /** Returns this configuration with another number of entries between snapshots. */
     public ReplicatedLogConfig withSnapshotEntries(int entries) {
-        return with(times, entries, policy, observer);
+        return with(times, entries, policy, observer, files);
     }
 
     /** Returns this configuration with another observer. */
     public ReplicatedLogConfig withObserver(MemberObserver newObserver) {
-        return with(times, snapshotEntries, policy, newObserver);
+        return with(times, snapshotEntries, policy, newObserver, files);
     }
 
     /** Returns this configuration with another membership policy. */
     public ReplicatedLogConfig withPolicy(MembershipPolicy newPolicy) {
-        return with(times, snapshotEntries, newPolicy, observer);
+        return with(times, snapshotEntries, newPolicy, observer, files);
     }
 
     /** Returns this configuration with other intervals and timeouts. */
     public ReplicatedLogConfig withTimes(ConsensusTimes newTimes) {
-        return with(newTimes, snapshotEntries, policy, observer);
+        return with(newTimes, snapshotEntries, policy, observer, files);
+    }
+
+    /** Returns this configuration with another way to open the data folder. */
+    public ReplicatedLogConfig withFiles(FileStoreOpener newFiles) {
+        return with(times, snapshotEntries, policy, observer, newFiles);
     }
 
     private ReplicatedLogConfig with(
-            ConsensusTimes newTimes, int entries, MembershipPolicy newPolicy, MemberObserver newObserver) {
+            ConsensusTimes newTimes,
+            int entries,
+            MembershipPolicy newPolicy,
+            MemberObserver newObserver,
+            FileStoreOpener newFiles) {
         return new ReplicatedLogConfig(
                 self,
                 initialMembers,
@@ -119,6 +134,7 @@
                 entries,
                 onFatal,
                 newPolicy,
-                newObserver);
+                newObserver,
+                newFiles);
     }
 }
--- a/src/main/java/io/chivehollow/state/consensus/ReplicatedLogs.java
+++ b/src/main/java/io/chivehollow/state/consensus/ReplicatedLogs.java
@@ -5,7 +5,7 @@
 
 import io.chivehollow.base.ErrorCode;
 import io.chivehollow.state.StateException;
-import io.chivehollow.state.log.DiskFileStore;
+import io.chivehollow.state.log.FileStore;
 import io.chivehollow.state.log.LogStore;
 
 /**
@@ -20,10 +20,22 @@
     /**
      * Opens the data folder, recovers the state machine and starts the member.
      *
-     * @throws StateException with code {@code STORAGE_FAILED} if the folder cannot be used; the process must exit then
+     * @throws StateException with code {@code STORAGE_FAILED} if the folder cannot be used
      */
     public static ConsensusMember open(ReplicatedLogConfig config) {
-        LogStore.RecoveredLog opened = openLogStore(config);
+        return start(config, openLogStore(config, false));
+    }
+
+    /**
+     * Opens the data folder after its disk has refused writes, provided that it accepts them again.
+     *
+     * @throws StateException with code {@code STORAGE_FAILED} if the folder cannot be used or the disk refuses writes
+     */
+    public static ConsensusMember reopen(ReplicatedLogConfig config) {
+        return start(config, openLogStore(config, true));
+    }
+
+    private static ConsensusMember start(ReplicatedLogConfig config, LogStore.RecoveredLog opened) {
         NodeConfig nodeConfig = new NodeConfig(
                 config.self(),
                 config.initialMembers(),
@@ -31,24 +43,33 @@
                 NodeConfig.DEFAULT_SNAPSHOT_PART_BYTES,
                 config.policy(),
                 Set.of());
-        MemberDriver driver = new MemberDriver(
-                nodeConfig,
-                opened,
-                config.stateMachine(),
-                config.transport(),
-                config.clock(),
-                config.random(),
-                config.snapshotEntries());
+        MemberDriver driver;
+        try {
+            driver = new MemberDriver(
+                    nodeConfig,
+                    opened,
+                    config.stateMachine(),
+                    config.transport(),
+                    config.clock(),
+                    config.random(),
+                    config.snapshotEntries());
+        } catch (RuntimeException e) {
+            opened.store().close();
+            throw e;
+        }
         driver.setObserver(config.observer());
         return ConsensusMember.start(config, driver);
     }
 
-    private static LogStore.RecoveredLog openLogStore(ReplicatedLogConfig config) {
+    private static LogStore.RecoveredLog openLogStore(ReplicatedLogConfig config, boolean isReopening) {
         try {
-            DiskFileStore files = DiskFileStore.open(config.dataFolder());
+            FileStore files = config.files().open(config.dataFolder());
             try {
+                if (isReopening) {
+                    LogStore.checkWritable(files);
+                }
                 return LogStore.open(files, config.self().value(), config.random());
-            } catch (RuntimeException e) {
+            } catch (IOException | RuntimeException e) {
                 files.close();
                 throw e;
             }
--- a/src/main/java/io/chivehollow/state/log/DiskFileStore.java
+++ b/src/main/java/io/chivehollow/state/log/DiskFileStore.java
@@ -35,12 +35,11 @@
     /**
      * Opens and locks the folder; creates it if it does not exist.
      *
+     * @throws DiskFullException if there is no space for the folder or its lock file
      * @throws IOException if the folder cannot be used or is already open in this or another process
      */
     public static DiskFileStore open(Path folder) throws IOException {
-        Files.createDirectories(folder);
-        FileChannel channel =
-                FileChannel.open(folder.resolve(LOCK_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        FileChannel channel = openLockFile(folder);
         try {
             FileLock lock = channel.tryLock();
             if (lock == null) {
@@ -56,6 +55,17 @@
         return new DiskFileStore(folder, channel);
     }
 
+    private static FileChannel openLockFile(Path folder) throws IOException {
+        try {
+            Files.createDirectories(folder);
+            return FileChannel.open(folder.resolve(LOCK_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        } catch (IOException e) {
+            // Other failures, such as missing permissions, are errors of the settings.
+            WriteFailedException refused = WriteFailedException.of(e);
+            throw refused instanceof DiskFullException ? refused : e;
+        }
+    }
+
     @Override
     public List<String> list() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
@@ -85,28 +95,43 @@
 
     @Override
     public OpenFile open(String name) throws IOException {
-        return new ChannelFile(
-                FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.WRITE));
+        try {
+            return new ChannelFile(
+                    FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.WRITE));
+        } catch (IOException e) {
+            throw WriteFailedException.of(e);
+        }
     }
 
     @Override
     public void rename(String from, String to) throws IOException {
-        Files.move(
-                folder.resolve(from),
-                folder.resolve(to),
-                StandardCopyOption.ATOMIC_MOVE,
-                StandardCopyOption.REPLACE_EXISTING);
+        try {
+            Files.move(
+                    folder.resolve(from),
+                    folder.resolve(to),
+                    StandardCopyOption.ATOMIC_MOVE,
+                    StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            throw WriteFailedException.of(e);
+        }
     }
 
     @Override
     public void delete(String name) throws IOException {
-        Files.delete(folder.resolve(name));
+        try {
+            // A file that could not be created on a full disk does not exist.
+            Files.deleteIfExists(folder.resolve(name));
+        } catch (IOException e) {
+            throw WriteFailedException.of(e);
+        }
     }
 
     @Override
     public void syncFolder() throws IOException {
         try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
             channel.force(true);
+        } catch (IOException e) {
+            throw WriteFailedException.of(e);
         }
     }
 
@@ -131,23 +156,26 @@
                     position += channel.write(bytes, position);
                 }
             } catch (IOException e) {
-                // The JDK reports ENOSPC and EDQUOT only through the message text of the operating system.
-                String message = String.valueOf(e.getMessage());
-                if (message.contains("No space left") || message.contains("quota exceeded")) {
-                    throw new DiskFullException(message, e);
-                }
-                throw e;
+                throw WriteFailedException.of(e);
             }
         }
 
         @Override
         public void truncate(long sizeBytes) throws IOException {
-            channel.truncate(sizeBytes);
+            try {
+                channel.truncate(sizeBytes);
+            } catch (IOException e) {
+                throw WriteFailedException.of(e);
+            }
         }
 
         @Override
         public void sync() throws IOException {
-            channel.force(false);
+            try {
+                channel.force(false);
+            } catch (IOException e) {
+                throw WriteFailedException.of(e);
+            }
         }
 
         @Override
--- a/src/main/java/io/chivehollow/state/log/DiskFullException.java
+++ b/src/main/java/io/chivehollow/state/log/DiskFullException.java
@@ -1,17 +1,17 @@
 package io.chivehollow.state.log;
 
-import java.io.IOException;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Thrown when a write fails because the disk is full.
  *
  * <p>Immutable, apart from what {@link Throwable} changes.
  */
-public final class DiskFullException extends IOException {
+public final class DiskFullException extends WriteFailedException {
 
     private static final long serialVersionUID = 1L;
 
-    public DiskFullException(String message, Throwable cause) {
+    public DiskFullException(String message, @Nullable Throwable cause) {
         super(message, cause);
     }
 }
--- a/src/main/java/io/chivehollow/state/log/FileStore.java
+++ b/src/main/java/io/chivehollow/state/log/FileStore.java
@@ -7,6 +7,8 @@
 /**
  * The file operations in the data folder of a member. Tests inject faults through this interface.
  *
+ * <p>A change that the disk refuses throws a {@link WriteFailedException}; its extent is unknown then.
+ *
  * <p>Used by one thread at a time, except {@link #read(String, long, int)}. Written content is durable only after the
  * file is synced; created, renamed and deleted names are durable only after the folder is synced.
  */
@@ -27,7 +29,7 @@
     /** Renames a file; replaces an existing one. */
     void rename(String from, String to) throws IOException;
 
-    /** Deletes a file. */
+    /** Deletes a file; does nothing if it does not exist. */
     void delete(String name) throws IOException;
 
     /** Makes created, renamed and deleted names durable. */
--- a/src/main/java/io/chivehollow/state/log/LogStore.java
+++ b/src/main/java/io/chivehollow/state/log/LogStore.java
@@ -20,8 +20,10 @@
  * <p>Invariants: files are only appended to or replaced by renaming; an entry whose index is not higher than that of an
  * earlier one replaces that entry and all entries after it; segments that a snapshot covers are deleted oldest first,
  * and all segments are deleted newest first when a snapshot from the leader is installed. Every error except a full
- * disk in {@link #reserve} and {@link #saveSnapshot} is fatal: the caller must end the process, because the content of
- * the disk is unknown after a failed sync. Used by one thread at a time.
+ * disk in {@link #reserve} and {@link #saveSnapshot} is fatal for the store: the caller must close it, because the
+ * content of the disk is unknown after a failed sync. A store that is opened again recovers what the disk contains, and
+ * writes the last segment once more, because a sync after a failed one does not write again what the failed one has
+ * dropped. Used by one thread at a time.
  */
 public final class LogStore implements AutoCloseable {
 
@@ -37,6 +39,9 @@
     private static final Logger LOG = Logger.getLogger(LogStore.class);
     private static final String SEGMENT_PREFIX = "segment-";
 
+    /** The suffix makes recovery delete the file if this process ends before it does. */
+    private static final String PROBE_NAME = "probe.tmp";
+
     private final FileStore files;
     private final StateFiles stateFiles;
 
@@ -79,13 +84,31 @@
                 throw failed("The data folder belongs to member " + state.member() + ", not to " + member, null);
             }
             LogStore store = new LogStore(files, state);
-            List<LogEntry> entries = store.recover(random);
-            return new RecoveredLog(store, entries);
+            try {
+                return new RecoveredLog(store, store.recover(random));
+            } catch (IOException | RuntimeException e) {
+                store.closeActiveFile();
+                throw e;
+            }
         } catch (IOException e) {
             throw failed("Cannot open the data folder", e);
         }
     }
 
+    /**
+     * Checks that a disk that has refused writes accepts them again, enough for the first entries.
+     *
+     * @throws WriteFailedException if it does not
+     */
+    public static void checkWritable(FileStore files) throws IOException {
+        try (FileStore.OpenFile file = files.open(PROBE_NAME)) {
+            file.write(0, ByteBuffer.allocate(RESERVATION_STEP_BYTES));
+            file.sync();
+        } finally {
+            files.delete(PROBE_NAME);
+        }
+    }
+
     /** Returns the member's identity, term and vote. */
     public MemberState memberState() {
         return memberState;
@@ -291,7 +314,7 @@
         if (!isTailZero && !LogRecordCodec.isIncomplete(offset, file)) {
             changeIncarnation(number, offset, random);
         }
-        reopenLastSegment(number, offset, file.length, isTailZero);
+        reopenLastSegment(number, offset, file, isTailZero);
     }
 
     /** Changes the incarnation, because the current one may have synced and acknowledged the damaged last record. */
@@ -302,17 +325,19 @@
         memberState = next;
     }
 
-    private void reopenLastSegment(long number, int offset, int fileBytes, boolean isTailZero) throws IOException {
+    private void reopenLastSegment(long number, int offset, byte[] file, boolean isTailZero) throws IOException {
         activeFile = files.open(segmentName(number));
         activeSegment = number;
         activeFileBytes = offset;
-        reservedBytes = fileBytes;
+        reservedBytes = file.length;
         if (!isTailZero) {
             LOG.infof("Truncating segment %d after its last complete record, at offset %d", number, offset);
             activeFile.truncate(offset);
             reservedBytes = offset;
         }
-        // Recovered entries may not have been synced before the crash, but are acknowledged from now on.
+        // Recovered entries may not have been synced before, but are acknowledged from now on. After a failed sync the
+        // operating system may hold them as already written, so that only another write makes a sync write them.
+        activeFile.write(0, ByteBuffer.wrap(file, 0, offset));
         activeFile.sync();
         files.syncFolder();
     }
@@ -395,8 +420,11 @@
     @Override
     public void close() {
         try {
-            closeActiveFile();
-            files.close();
+            try {
+                closeActiveFile();
+            } finally {
+                files.close();
+            }
         } catch (IOException e) {
             throw failed("Cannot close the data folder", e);
         }
--- a/src/main/java/io/chivehollow/transport/FrameServer.java
+++ b/src/main/java/io/chivehollow/transport/FrameServer.java
@@ -66,6 +66,11 @@
         return (InetSocketAddress) serverChannel.localAddress();
     }
 
+    /** Closes all connections and continues to listen. */
+    public void closeConnections() {
+        connections.close();
+    }
+
     /** Stops listening and closes all connections. */
     @Override
     public void close() {
--- a/src/test/java/io/chivehollow/metrics/OversizedChunkTest.java
+++ b/src/test/java/io/chivehollow/metrics/OversizedChunkTest.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -33,7 +34,7 @@
         server = OperationsServer.start(
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 loops,
-                () -> true,
+                () -> new Readiness(true, List.of()),
                 ScrapeWriter.create(new MetricRegistry()),
                 Runnable::run);
     }
--- a/src/test/java/io/chivehollow/state/consensus/ScenarioTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/ScenarioTest.java
@@ -178,6 +178,22 @@
         simulation.recoverAndVerify();
     }
 
+    /** A leader whose disk refuses a write halfway must stop, and all acknowledged commands must remain. */
+    @Test(dataProvider = "seeds")
+    public void leaderWhoseDiskRefusesWritesIsReplaced(long seed) {
+        Simulation simulation = start(seed, 3);
+        SimMember full = leader(simulation);
+        long generation = full.processGeneration;
+        full.disk.setRefusingWrites(true);
+        for (int i = 0; i < 4; i++) {
+            full.propose("refused" + i);
+            simulation.run(50);
+        }
+        assertTrue(full.processGeneration > generation, "The leader continued after the refused write");
+        simulation.commit(3);
+        simulation.recoverAndVerify();
+    }
+
     /** A member whose last record is damaged must not count as a voter before it has caught up. */
     @Test(dataProvider = "seeds")
     public void memberWithDamagedLastRecordJoinsUnderNewIncarnation(long seed) {
--- a/src/test/java/io/chivehollow/state/log/LogStoreTest.java
+++ b/src/test/java/io/chivehollow/state/log/LogStoreTest.java
@@ -196,6 +196,52 @@
         assertEquals(terms(open(disk.crash(RANDOM)).entries()), List.of("1/1", "2/1", "3/1"));
     }
 
+    /**
+     * A write that is refused halfway must fail with an unknown outcome, and the store must recover all synced entries
+     * when it is opened again, and only then if the disk accepts writes.
+     */
+    @Test
+    public void refusedWriteIsRecoveredWhenThereIsSpace() throws Exception {
+        SimDisk disk = new SimDisk();
+        LogStore store = open(disk).store();
+        appendSynced(store, 1, 3, 1);
+        disk.setRefusingWrites(true);
+        StateException failure = expectThrows(StateException.class, () -> store.append(List.of(entry(4, 1))));
+        assertFalse(failure.isNotRun());
+        assertTrue(WriteFailedException.isCauseOf(failure), failure.toString());
+        store.close();
+        expectThrows(DiskFullException.class, () -> LogStore.checkWritable(disk));
+        assertTrue(WriteFailedException.isCauseOf(expectThrows(StateException.class, () -> open(disk))));
+        disk.setRefusingWrites(false);
+        LogStore.checkWritable(disk);
+        LogStore.RecoveredLog opened = open(disk);
+        assertEquals(terms(opened.entries()), List.of("1/1", "2/1", "3/1"));
+        assertEquals(
+                opened.store().memberState().incarnation(), store.memberState().incarnation());
+        appendSynced(opened.store(), 4, 4, 2);
+        assertEquals(terms(open(disk.crash(RANDOM)).entries()), List.of("1/1", "2/1", "3/1", "4/2"));
+    }
+
+    /**
+     * After a failed sync, the operating system may report the unsynced entries as written; an entry that is recovered
+     * then is acknowledged, so it must be durable.
+     */
+    @Test
+    public void entriesOfFailedSyncAreWrittenAgain() {
+        SimDisk disk = new SimDisk();
+        LogStore store = open(disk).store();
+        appendSynced(store, 1, 2, 1);
+        disk.setDroppingOnFailedSync(true);
+        disk.setSyncFailing(true);
+        store.append(List.of(entry(3, 1)));
+        expectThrows(StateException.class, store::sync);
+        store.close();
+        disk.setSyncFailing(false);
+        List<String> recovered = terms(open(disk).entries());
+        assertEquals(recovered, List.of("1/1", "2/1", "3/1"));
+        assertEquals(terms(open(disk.crash(RANDOM)).entries()), recovered);
+    }
+
     /** Segments that a snapshot covers must be deleted, because otherwise the disk fills up. */
     @Test
     public void snapshotDeletesCoveredSegments() {
--- a/src/test/java/io/chivehollow/state/log/SimDisk.java
+++ b/src/test/java/io/chivehollow/state/log/SimDisk.java
@@ -22,6 +22,8 @@
     private long reads;
     private long crashAtOperation = Long.MAX_VALUE;
     private boolean isFull;
+    private volatile boolean isRefusingWrites;
+    private boolean isDroppingOnFailedSync;
     private boolean isSyncFailing;
     private boolean isCrashed;
 
@@ -43,6 +45,16 @@
         isFull = full;
     }
 
+    /** Makes every write fail halfway, also one to space that is reserved. */
+    public void setRefusingWrites(boolean refusing) {
+        isRefusingWrites = refusing;
+    }
+
+    /** Makes a failed sync drop the unsynced writes from the next sync, although they can still be read. */
+    public void setDroppingOnFailedSync(boolean dropping) {
+        isDroppingOnFailedSync = dropping;
+    }
+
     public void setSyncFailing(boolean failing) {
         isSyncFailing = failing;
     }
@@ -197,7 +209,7 @@
 
     private void throwIfSyncFailing() throws IOException {
         if (isSyncFailing) {
-            throw new IOException("Injected sync failure");
+            throw new WriteFailedException("Injected sync failure", null);
         }
     }
 
@@ -247,7 +259,7 @@
             byte[] data = new byte[buffer.remaining()];
             buffer.get(data);
             boolean isExtending = offset + data.length > content.bytes.length;
-            if (isFull && isExtending) {
+            if (isRefusingWrites || (isFull && isExtending)) {
                 change((bytes, fraction) -> put(bytes, offset, Arrays.copyOf(data, data.length / 2), fraction));
                 throw new DiskFullException("Injected full disk", null);
             }
@@ -280,6 +292,9 @@
         @Override
         public void sync() throws IOException {
             countOperation();
+            if (isSyncFailing && isDroppingOnFailedSync) {
+                content.unsynced.clear();
+            }
             throwIfSyncFailing();
             for (ContentChange change : content.unsynced) {
                 content.durable = change.apply(content.durable, 1);
