Stop the replica also if a refused reservation shows that no vote can be stored

Cause: a disk that refuses every write may refuse the reservation of further space first. The leader then refused all commands with disk_full and kept its lease for as long as the disk refused writes.

A refused reservation now tries a write to the spare file of the votes, whose space is allocated; if that is refused too, the store fails.

Test: LogStoreTest.refusedReservationIsFatalIfNoVoteCanBeStored failed first with a refusal that is marked as not run.

--- a/src/main/java/io/chivehollow/state/log/LogStore.java
+++ b/src/main/java/io/chivehollow/state/log/LogStore.java
@@ -140,8 +140,8 @@
     /**
      * Reserves disk space for records of the given total size.
      *
-     * @throws StateException with code {@code DISK_FULL} and {@code isNotRun} if there is no space; the log is
-     *     unchanged then
+     * @throws StateException with code {@code DISK_FULL} and {@code isNotRun} if there is no space, but votes can still
+     *     be stored; the log is unchanged then
      */
     public void reserve(long sizeBytes) {
         try {
@@ -154,12 +154,22 @@
                 reserveBytes(steps * RESERVATION_STEP_BYTES);
             }
         } catch (DiskFullException e) {
+            checkVotesCanBeStored();
             throw StateException.refused(ErrorCode.DISK_FULL, "No disk space left for the log", e);
         } catch (IOException e) {
             throw failed("Cannot reserve space for the log", e);
         }
     }
 
+    /** Fails if the disk refuses also writes to allocated space; the member could not take part any more. */
+    private void checkVotesCanBeStored() {
+        try {
+            stateFiles.checkSpareWritable();
+        } catch (IOException e) {
+            throw failed("The disk refuses all writes", e);
+        }
+    }
+
     private void reserveBytes(long sizeBytes) throws IOException {
         try {
             activeFile.write(reservedBytes, ByteBuffer.allocate((int) sizeBytes));
--- a/src/main/java/io/chivehollow/state/log/StateFiles.java
+++ b/src/main/java/io/chivehollow/state/log/StateFiles.java
@@ -74,6 +74,16 @@
         files.rename(temporary, SPARE_NAME);
     }
 
+    /** Checks that the next vote can be stored on a full disk. */
+    void checkSpareWritable() throws IOException {
+        if (!files.list().contains(SPARE_NAME)) {
+            throw new DiskFullException("No preallocated file is left for a vote", null);
+        }
+        try (FileStore.OpenFile file = files.open(SPARE_NAME)) {
+            file.write(0, ByteBuffer.allocate(SPARE_BYTES));
+        }
+    }
+
     @Nullable
     Snapshot readSnapshot() throws IOException {
         List<String> names = snapshotNames();
--- a/src/test/java/io/chivehollow/state/log/LogStoreTest.java
+++ b/src/test/java/io/chivehollow/state/log/LogStoreTest.java
@@ -222,6 +222,19 @@
         assertEquals(terms(open(disk.crash(RANDOM)).entries()), List.of("1/1", "2/1", "3/1", "4/2"));
     }
 
+    /** A disk that refuses every write must stop the store also if the refused write was to reserve space. */
+    @Test
+    public void refusedReservationIsFatalIfNoVoteCanBeStored() {
+        SimDisk disk = new SimDisk();
+        LogStore store = open(disk).store();
+        appendSynced(store, 1, 1, 1);
+        disk.setRefusingWrites(true);
+        StateException failure =
+                expectThrows(StateException.class, () -> store.reserve(2L * LogStore.RESERVATION_STEP_BYTES));
+        assertFalse(failure.isNotRun());
+        assertTrue(WriteFailedException.isCauseOf(failure), failure.toString());
+    }
+
     /**
      * After a failed sync, the operating system may report the unsynced entries as written; an entry that is recovered
      * then is acknowledged, so it must be durable.
