--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/ResponseFields.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/ResponseFields.java
@@ -13,7 +13,8 @@
  * @param backendServer id of the responding backend server; null if not stated
  * @param isLeaving whether the responding backend server states that it leaves
  * @param retryAfterMs time in milliseconds for which the responding backend server wants no request, 0 if not stated
- * @param load load of the backend server; null if not stated
+ * @param load load of the backend server; null if not stated or not readable
+ * @param unreadableLoad what cannot be read of the stated load, or null
  * @param idleTimeoutMs time in milliseconds after which an idle connection is closed, -1 if not stated
  */
 public record ResponseFields(
@@ -24,4 +25,5 @@
         boolean isLeaving,
         long retryAfterMs,
         @Nullable BackendLoad load,
+        @Nullable UnreadableLoad unreadableLoad,
         long idleTimeoutMs) {}
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -143,6 +143,9 @@
         if (reported != null) {
             onLoad(reported, nowNanos);
         }
+        if (fields.unreadableLoad() != null) {
+            notice.onLoadUnreadable(fields.unreadableLoad());
+        }
         String sender = fields.backendServer();
         boolean hasNotice = fields.isLeaving() || fields.retryAfterMs() > 0;
         if (hasNotice && (sender == null || Identifiers.isIdentifier(sender))) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ServerChanges.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ServerChanges.java
@@ -1,7 +1,9 @@
 package io.chivehollow.coordination.forwarding.backend;
 
+import io.chivehollow.coordination.forwarding.adapter.UnreadableLoad;
+
 /**
- * Is notified when a backend server gets no more requests because of its own responses.
+ * Is notified of what backend servers state about themselves in their responses.
  *
  * <p>Called on the event loop of the forwarding role.
  */
@@ -14,6 +16,9 @@
 
         @Override
         public void onHeld() {}
+
+        @Override
+        public void onLoadUnreadable(UnreadableLoad.Reason reason) {}
     };
 
     /** Called once for each run of a backend server that states that it leaves. */
@@ -21,4 +26,7 @@
 
     /** Called when a backend server states for how long it wants no requests. */
     void onHeld();
+
+    /** Called for each response whose load report cannot be read as a whole. */
+    void onLoadUnreadable(UnreadableLoad.Reason reason);
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ServerNotice.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ServerNotice.java
@@ -1,7 +1,10 @@
 package io.chivehollow.coordination.forwarding.backend;
 
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import io.chivehollow.coordination.forwarding.adapter.UnreadableLoad;
 import org.jboss.logging.Logger;
 
 /**
@@ -22,6 +25,7 @@
     private boolean isLeaving;
     private long holdEndNanos;
     private boolean isHoldStated;
+    private final Set<UnreadableLoad.Reason> loggedReasons = EnumSet.noneOf(UnreadableLoad.Reason.class);
 
     ServerNotice(String id, ServerChanges changes) {
         this.id = id;
@@ -51,6 +55,16 @@
         isHoldStated = true;
     }
 
+    /** Records a load report that cannot be read as a whole; each reason is logged once for the run. */
+    void onLoadUnreadable(UnreadableLoad unreadable) {
+        changes.onLoadUnreadable(unreadable.reason());
+        if (loggedReasons.add(unreadable.reason())) {
+            LOG.warnf(
+                    "Backend server %s reports a load that cannot be read (%s): \"%s\"",
+                    id, unreadable.reason().metricName(), unreadable.text());
+        }
+    }
+
     /** Returns the time for which the run still wants no requests, or 0. */
     long heldNanos(long nowNanos) {
         return isHoldStated ? Math.max(0, holdEndNanos - nowNanos) : 0;
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
+import io.chivehollow.coordination.forwarding.adapter.UnreadableLoad;
 import io.chivehollow.coordination.forwarding.backend.ServerChanges;
 
 /**
@@ -48,6 +49,11 @@
         registry.counter(PREFIX + "servers_held").inc();
     }
 
+    @Override
+    public void onLoadUnreadable(UnreadableLoad.Reason reason) {
+        registry.counter(PREFIX + "load_unreadable." + reason.metricName()).inc();
+    }
+
     void onRetry(String reason) {
         registry.counter(PREFIX + "repeats." + reason).inc();
     }
--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/ServerNoticeTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/ServerNoticeTest.java
@@ -1,5 +1,6 @@
 package io.chivehollow.coordination.forwarding.backend;
 
+import io.chivehollow.coordination.forwarding.adapter.UnreadableLoad;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -23,6 +24,11 @@
             public void onHeld() {
                 changes++;
             }
+
+            @Override
+            public void onLoadUnreadable(UnreadableLoad.Reason reason) {
+                changes++;
+            }
         });
     }
 
