Choose plain and decode servers by expected time

All servers of a service counted as equally fast, so that a slow server got as many requests as a fast one. Each process now learns how much longer work takes at each run of a server, corrects it by what the server states of its machine for 300 ms, and takes one of the servers within 20% of the shortest expected time. Decode servers are compared by time only if they are likely to have memory; prefill servers by wait and prompt. Only services whose servers state the load of their machines are affected.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -62,7 +62,7 @@
         this.loop = context.eventLoops().next();
         ForwardingAdapter adapter = adapter(settings.adapter());
         ForwardMetrics metrics = ForwardMetrics.create(context.registry());
-        BackendTable table = BackendTable.create(System::nanoTime, metrics);
+        BackendTable table = BackendTable.create(System::nanoTime, metrics, metrics);
         BackendConnections connections = BackendConnections.create(loop, System::nanoTime, adapter.dialect());
         this.listPoller = new BackendListPoller(
                 adapter.backendList(settings.backendListAddress(), new NettyHttpFetcher(context.eventLoops())),
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -11,8 +11,13 @@
 import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
+import io.chivehollow.coordination.forwarding.speed.ServerSpeed;
+import io.chivehollow.coordination.forwarding.speed.SlownessWatch;
+import io.chivehollow.coordination.forwarding.speed.SpeedListener;
+import io.chivehollow.coordination.forwarding.speed.WorkTimes;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,10 +39,16 @@
     /** Time for which a refused reservation is not retried; a request ends about every 100 ms. */
     private static final long MEMORY_FULL_NANOS = 40_000_000L;
 
+    /** Share of the time of a run for which a server that has refused a reservation is likely to be full. */
+    private static final double LIKELY_FULL_RUN_SHARE = 0.25;
+
+    private static final double NANOS_PER_MS = 1e6;
+
     /** A full backend server has capacity again after about the time of one request. */
     private static final long FULL_NANOS = 50_000_000L;
 
     private static final long MAX_ROUNDING_NANOS = 999_999;
+    private static final Logger LOG = Logger.getLogger(Backend.class);
 
     final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
 
@@ -49,6 +60,9 @@
     RunWitness witness;
 
     private final EngineEstimates estimates;
+    private final WorkTimes workTimes;
+    private final ServerSpeed speed = ServerSpeed.create();
+    private final SlownessWatch slownessWatch = SlownessWatch.create();
     private final ServerNotices notices;
     private final ServerNotice notice;
     private final PromptQueue promptQueue;
@@ -64,16 +78,19 @@
     private long lastColdSendNanos;
     private long memoryFullEndNanos = Long.MIN_VALUE / 2;
     private long refusedTokens;
+    private long memoryRefusalNanos;
+    private boolean isMemoryRefused;
     private long idleTimeoutMs = -1;
     private boolean isListed = true;
     private boolean isReplaced;
 
-    Backend(BackendEntry entry, EngineEstimates estimates, ServerNotices notices, long nowNanos) {
+    Backend(BackendEntry entry, EngineEstimates estimates, WorkTimes workTimes, ServerNotices notices, long nowNanos) {
         this.entry = entry;
         this.estimates = estimates;
+        this.workTimes = workTimes;
         this.notices = notices;
         this.notice = notices.of(entry.id());
-        this.promptQueue = new PromptQueue(estimates);
+        this.promptQueue = new PromptQueue(estimates, speed);
         this.lastColdSendNanos = nowNanos - Long.MAX_VALUE / 4;
         update(entry, nowNanos);
     }
@@ -241,6 +258,7 @@
     public void onLoad(BackendLoad reported, long nowNanos) {
         load = reported;
         loadReportNanos = nowNanos;
+        reported.machinePercent().ifPresent(percent -> speed.onReported(percent, nowNanos));
     }
 
     /**
@@ -265,6 +283,40 @@
         return estimates;
     }
 
+    /** Returns the speed of this run. */
+    public ServerSpeed speed() {
+        return speed;
+    }
+
+    /** Returns the times of requests to the service of this server. */
+    WorkTimes workTimes() {
+        return workTimes;
+    }
+
+    /** Returns the number of requests that the server runs at once. */
+    int slots() {
+        return load == null || load.slots() == 0 ? entry.slots() : load.slots();
+    }
+
+    /** Returns whether the server has reported its load. */
+    boolean hasReportedLoad() {
+        return load != null;
+    }
+
+    /** Reports the speed of a server that states the load of its machine, and logs a change that lasts. */
+    void reportSpeed(SpeedListener listener, long nowNanos) {
+        if (!speed.isReported(nowNanos)) {
+            return;
+        }
+        double slowness = speed.meanSlowness(nowNanos);
+        listener.onSlowness(entry.service(), slowness);
+        if (slownessWatch.update(slowness, nowNanos)) {
+            LOG.infof(
+                    "Backend server %s of service %s is %s: its work takes %.2f times as long as usual",
+                    id(), entry.service(), slownessWatch.isSlow() ? "slow" : "no longer slow", slowness);
+        }
+    }
+
     /** Returns the estimated prompt queue of a prefill server. */
     public PromptQueue promptQueue() {
         return promptQueue;
@@ -287,11 +339,14 @@
     public void onMemoryFull(long tokens, long nowNanos) {
         memoryFullEndNanos = nowNanos + MEMORY_FULL_NANOS;
         refusedTokens = tokens;
+        memoryRefusalNanos = nowNanos;
+        isMemoryRefused = true;
     }
 
     /** Records that a request has ended at this backend server and its memory was released. */
     public void onMemoryReleased() {
         memoryFullEndNanos = Long.MIN_VALUE / 2;
+        isMemoryRefused = false;
     }
 
     /** Records that the address now belongs to another backend server; this run is not used any more. */
@@ -303,6 +358,16 @@
         return nowNanos < memoryFullEndNanos && tokens >= refusedTokens;
     }
 
+    /**
+     * Returns whether the server is likely to have no memory for the tokens: it has refused as much within a part of
+     * the time of a run, and other processes take what becomes free.
+     */
+    boolean likelyLacksMemory(long tokens, long nowNanos) {
+        return isMemoryRefused
+                && tokens >= refusedTokens
+                && nowNanos - memoryRefusalNanos < estimates.meanRunMs() * LIKELY_FULL_RUN_SHARE * NANOS_PER_MS;
+    }
+
     long promptTokens() {
         return promptTokens;
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
@@ -14,13 +14,16 @@
 import io.chivehollow.base.FailureDomain;
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
+import io.chivehollow.coordination.forwarding.locality.DomainCost;
+import io.chivehollow.coordination.forwarding.speed.ExpectedTime;
+import io.chivehollow.coordination.forwarding.speed.TimedChoice;
 
 /**
  * Selects backend servers.
  *
  * <p>Selects the server with the least load that is visible to this process. Ties are resolved at random, so that
- * processes with the same information do not all select the same server. Used on the event loop of the forwarding role
- * only.
+ * processes with the same information do not all select the same server. Servers of a service that state the load of
+ * their machines are selected by expected time instead. Used on the event loop of the forwarding role only.
  */
 public final class BackendSelector {
 
@@ -68,12 +71,15 @@
     private final RandomGenerator random;
     private final IntSupplier processCount;
     private final ToDoubleFunction<String> coldRequestsPerSecond;
+    private final DomainCost domainCost;
 
     private BackendSelector(
             BackendTable table,
             RandomGenerator random,
             IntSupplier processCount,
-            ToDoubleFunction<String> coldRequestsPerSecond) {
+            ToDoubleFunction<String> coldRequestsPerSecond,
+            DomainCost domainCost) {
+        this.domainCost = domainCost;
         this.processCount = processCount;
         this.coldRequestsPerSecond = coldRequestsPerSecond;
         this.table = table;
@@ -93,7 +99,20 @@
             RandomGenerator random,
             IntSupplier processCount,
             ToDoubleFunction<String> coldRequestsPerSecond) {
-        return new BackendSelector(table, random, processCount, coldRequestsPerSecond);
+        return create(table, random, processCount, coldRequestsPerSecond, DomainCost.none());
+    }
+
+    /**
+     * Returns a selector among the servers of the table that adds the cost of leaving the failure domain of this
+     * instance to expected times.
+     */
+    public static BackendSelector create(
+            BackendTable table,
+            RandomGenerator random,
+            IntSupplier processCount,
+            ToDoubleFunction<String> coldRequestsPerSecond,
+            DomainCost domainCost) {
+        return new BackendSelector(table, random, processCount, coldRequestsPerSecond, domainCost);
     }
 
     /** Returns a selector for services that do not state how many requests a cold server tolerates. */
@@ -106,11 +125,31 @@
         return table.estimates(service);
     }
 
-    /** Returns the least loaded server of the service that may run a request, other than the excluded ones. */
+    /** Selects a server for a request whose size does not matter; see the other method. */
     public Optional<Backend> selectServer(
             String service, Set<String> excluded, Predicate<FailureDomain> isOutOfService, long nowNanos) {
+        return selectServer(service, 0, excluded, isOutOfService, nowNanos);
+    }
+
+    /**
+     * Returns the server of the service that may run a request, other than the excluded ones: the least loaded one, or
+     * one with a short expected time.
+     *
+     * @param sizeBytes size of the request
+     */
+    public Optional<Backend> selectServer(
+            String service,
+            long sizeBytes,
+            Set<String> excluded,
+            Predicate<FailureDomain> isOutOfService,
+            long nowNanos) {
+        List<Backend> candidates = candidates(service, RUN_ROLES, excluded, isOutOfService, nowNanos);
+        boolean hasMemory = candidates.stream().anyMatch(backend -> backend.role() == Role.DECODE);
+        if (!hasMemory && table.choosesByTime(service, nowNanos)) {
+            return chooseByTime(candidates, sizeBytes, nowNanos);
+        }
         return leastLoaded(
-                candidates(service, RUN_ROLES, excluded, isOutOfService, nowNanos),
+                candidates,
                 backend -> backend.role() == Role.DECODE
                         ? backend.memoryTokens() + backend.requests(nowNanos)
                         : backend.requests(nowNanos));
@@ -125,10 +164,61 @@
         List<Backend> withMemory = filter(
                 candidates(service, MEMORY_ROLES, Set.of(), isOutOfService, nowNanos),
                 backend -> !backend.lacksMemory(tokens, nowNanos));
-        return leastLoaded(
-                withMemory,
-                backend -> backend.memoryTokens()
-                        + backend.otherRequests(nowNanos) * backend.estimates().meanMemoryTokens());
+        if (table.choosesByTime(service, nowNanos)) {
+            return chooseByTime(likelyFree(withMemory, tokens, nowNanos), 0, nowNanos);
+        }
+        return leastLoaded(withMemory, backend -> usedMemoryTokens(backend, nowNanos));
+    }
+
+    private static double usedMemoryTokens(Backend backend, long nowNanos) {
+        return backend.memoryTokens()
+                + backend.otherRequests(nowNanos) * backend.estimates().meanMemoryTokens();
+    }
+
+    /**
+     * Returns the servers that hold at most one request more than the emptiest one, without those that have refused a
+     * reservation lately unless all have.
+     */
+    private static List<Backend> likelyFree(List<Backend> all, long tokens, long nowNanos) {
+        List<Backend> notRefusing = filter(all, server -> !server.likelyLacksMemory(tokens, nowNanos));
+        List<Backend> servers = notRefusing.isEmpty() ? all : notRefusing;
+        double leastTokens = servers.stream()
+                .mapToDouble(server -> usedMemoryTokens(server, nowNanos))
+                .min()
+                .orElse(0);
+        return filter(
+                servers,
+                server -> usedMemoryTokens(server, nowNanos)
+                        <= leastTokens + server.estimates().meanMemoryTokens());
+    }
+
+    /** Returns one of the candidates with a short expected time; those that are too dear count only if all are. */
+    private Optional<Backend> chooseByTime(List<Backend> candidates, long sizeBytes, long nowNanos) {
+        ToDoubleFunction<Backend> cost =
+                backend -> domainCost.leavingMs(backend.entry().domain(), sizeBytes, nowNanos);
+        List<Backend> affordable = filter(candidates, backend -> Double.isFinite(cost.applyAsDouble(backend)));
+        Optional<Backend> chosen = affordable.isEmpty()
+                ? TimedChoice.choose(candidates, backend -> expectedWaitMs(backend, nowNanos), random)
+                : TimedChoice.choose(
+                        affordable, backend -> expectedWaitMs(backend, nowNanos) + cost.applyAsDouble(backend), random);
+        chosen.ifPresent(backend -> table.speeds()
+                .onChoice(backend.entry().service(), backend.speed().isReportCurrent(nowNanos)));
+        return chosen;
+    }
+
+    /**
+     * Returns the expected time in milliseconds until the first byte or event of a request at the server, or until the
+     * prefill of a usual prompt ends.
+     */
+    public double expectedWaitMs(Backend backend, long nowNanos) {
+        if (backend.role() == Role.PREFILL) {
+            return prefillMs(backend, (long) backend.estimates().meanPromptTokens(), nowNanos);
+        }
+        return ExpectedTime.ms(
+                backend.workTimes().firstOutputMs(),
+                backend.speed().slowness(nowNanos),
+                backend.requests(nowNanos),
+                backend.slots());
     }
 
     /**
@@ -144,16 +234,20 @@
             Backend decodeServer,
             Predicate<FailureDomain> isOutOfService,
             long nowNanos) {
+        boolean isTimed = table.choosesByTime(demand.service(), nowNanos);
         Optional<Backend> best = leastLoaded(
                 candidates(demand.service(), EnumSet.of(Role.PREFILL), excluded, isOutOfService, nowNanos),
-                backend -> promptWaitMs(backend, nowNanos)
+                backend -> (isTimed
+                                ? prefillMs(backend, demand.tokens(), nowNanos)
+                                : promptWaitMs(backend, 1, nowNanos))
                         + (backend.entry().domain().equals(decodeServer.entry().domain())
                                 ? 0
                                 : demand.targetMs() * CROSS_DOMAIN_TARGET_SHARE));
         boolean isDecodeServerFaster = isShortPrompt(demand)
                 && decodeServer.promptTokens() == 0
                 && best.isPresent()
-                && promptWaitMs(best.get(), nowNanos) > demand.targetMs() * LONG_WAIT_TARGET_SHARE;
+                && promptWaitMs(best.get(), isTimed ? best.get().speed().slowness(nowNanos) : 1, nowNanos)
+                        > demand.targetMs() * LONG_WAIT_TARGET_SHARE;
         return isDecodeServerFaster ? Optional.empty() : best;
     }
 
@@ -170,19 +264,25 @@
         double maxWaitMs = demand.targetMs() * BUSY_WAIT_TARGET_SHARE;
         return !isShortPrompt(demand)
                 && !servers.isEmpty()
-                && servers.stream().allMatch(server -> promptWaitMs(server, nowNanos) > maxWaitMs);
+                && servers.stream().allMatch(server -> promptWaitMs(server, 1, nowNanos) > maxWaitMs);
     }
 
     /**
      * Returns how long in milliseconds a further prompt waits, as the larger of two estimates: from the open requests
      * at the server, and from the observed times of this process's prompts.
      */
-    private static double promptWaitMs(Backend backend, long nowNanos) {
+    private static double promptWaitMs(Backend backend, double slowness, long nowNanos) {
         EngineEstimates estimates = backend.estimates();
         double queuedTokens = backend.promptTokens() + backend.otherRequests(nowNanos) * estimates.meanPromptTokens();
         return Math.max(
-                queuedTokens / estimates.prefillTokensPerMs(),
-                backend.promptQueue().waitMs(nowNanos));
+                queuedTokens / estimates.prefillTokensPerMs() * slowness,
+                backend.promptQueue().waitMs(nowNanos, slowness));
+    }
+
+    /** Returns the time in milliseconds until a prompt of the given size is processed. */
+    private static double prefillMs(Backend backend, long tokens, long nowNanos) {
+        double slowness = backend.speed().slowness(nowNanos);
+        return promptWaitMs(backend, slowness, nowNanos) + backend.promptQueue().processingMs(tokens) * slowness;
     }
 
     /**
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
@@ -11,6 +11,8 @@
 
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
+import io.chivehollow.coordination.forwarding.speed.SpeedListener;
+import io.chivehollow.coordination.forwarding.speed.WorkTimes;
 import org.jboss.logging.Logger;
 
 /**
@@ -25,22 +27,28 @@
 
     private final Map<String, Backend> byId = new HashMap<>();
     private final Map<String, EngineEstimates> estimatesByService = new HashMap<>();
+    private final Map<String, WorkTimes> workTimesByService = new HashMap<>();
     private final LongSupplier nanoTime;
     private final ServerNotices notices;
+    private final SpeedListener speeds;
 
-    private BackendTable(LongSupplier nanoTime, ServerChanges changes) {
+    private BackendTable(LongSupplier nanoTime, ServerChanges changes, SpeedListener speeds) {
         this.nanoTime = nanoTime;
+        this.speeds = speeds;
         this.notices = new ServerNotices(changes);
     }
 
     /** Returns an empty table that uses the given clock. */
     public static BackendTable create(LongSupplier nanoTime) {
-        return create(nanoTime, ServerChanges.NONE);
+        return create(nanoTime, ServerChanges.NONE, SpeedListener.NONE);
     }
 
-    /** Returns an empty table that uses the given clock and reports changes that servers state about themselves. */
-    public static BackendTable create(LongSupplier nanoTime, ServerChanges changes) {
-        return new BackendTable(nanoTime, changes);
+    /**
+     * Returns an empty table that uses the given clock and reports changes that servers state about themselves, and
+     * their speeds.
+     */
+    public static BackendTable create(LongSupplier nanoTime, ServerChanges changes, SpeedListener speeds) {
+        return new BackendTable(nanoTime, changes, speeds);
     }
 
     /** Replaces the list; returns the backend servers that were removed from it. */
@@ -55,10 +63,13 @@
                 LOG.infof(
                         "Backend server %s of service %s at %s was added to the list, role %s",
                         entry.id(), entry.service(), entry.address(), entry.role());
-                byId.put(entry.id(), new Backend(entry, estimates(entry.service()), notices, now));
+                byId.put(
+                        entry.id(),
+                        new Backend(entry, estimates(entry.service()), workTimes(entry.service()), notices, now));
             } else {
                 logChange(backend.entry(), entry);
                 backend.update(entry, now);
+                backend.reportSpeed(speeds, now);
             }
         }
         List<Backend> removed = new ArrayList<>();
@@ -87,6 +98,30 @@
         return estimatesByService.computeIfAbsent(service, id -> EngineEstimates.create());
     }
 
+    private WorkTimes workTimes(String service) {
+        return workTimesByService.computeIfAbsent(service, id -> WorkTimes.create());
+    }
+
+    /**
+     * Returns whether servers of the service are chosen by expected time: most of those that report their load also
+     * state that of their machines.
+     */
+    boolean choosesByTime(String service, long nowNanos) {
+        int reporting = 0;
+        int stating = 0;
+        for (Backend backend : byId.values()) {
+            if (backend.hasReportedLoad() && backend.entry().service().equals(service)) {
+                reporting++;
+                stating += backend.speed().isReported(nowNanos) ? 1 : 0;
+            }
+        }
+        return 2 * stating > reporting;
+    }
+
+    SpeedListener speeds() {
+        return speeds;
+    }
+
     /** Returns all listed backend servers. */
     public Collection<Backend> all() {
         return byId.values();
--- a/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
@@ -144,6 +144,11 @@
         return meanMemoryTokens;
     }
 
+    /** Returns the mean time in milliseconds for which a run occupies its memory. */
+    public double meanRunMs() {
+        return meanRunMs;
+    }
+
     /**
      * Returns how many decode servers one prefill server keeps busy, or 0 as long as too few requests have ended.
      *
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
@@ -40,7 +40,7 @@
     private long resumedAfterId = -1;
 
     private boolean hasRepeatedEvent;
-    private boolean hasEventOfRun;
+    private int eventsOfRun;
 
     /**
      * Adds data, which is released, and returns all complete events that have not been returned yet. A resumed stream
@@ -79,7 +79,7 @@
     private void onEventEnd() {
         if (hasSeenData || seenId >= 0) {
             lastCompleteId = seenId;
-            hasEventOfRun = true;
+            eventsOfRun++;
         }
         seenId = -1;
         hasSeenData = false;
@@ -126,12 +126,17 @@
         hasSeenData = false;
         resumedAfterId = lastCompleteId;
         hasRepeatedEvent = false;
-        hasEventOfRun = false;
+        eventsOfRun = 0;
     }
 
     /** Returns whether the present run has sent a complete event; comments do not count. */
     boolean hasEventOfRun() {
-        return hasEventOfRun;
+        return eventsOfRun > 0;
+    }
+
+    /** Returns the number of complete events that the present run has sent; comments do not count. */
+    int eventsOfRun() {
+        return eventsOfRun;
     }
 
     /** Returns whether the run that resumes the stream has sent an event of an earlier run. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -186,6 +186,7 @@
         Optional<Backend> server = services.selector()
                 .selectServer(
                         accepted.service(),
+                        request.body().length,
                         openAttempt.triedServers(),
                         this::isOutOfService,
                         services.nanoTime().getAsLong());
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
@@ -5,15 +5,17 @@
 import com.codahale.metrics.MetricRegistry;
 import io.chivehollow.coordination.forwarding.adapter.UnreadableLoad;
 import io.chivehollow.coordination.forwarding.backend.ServerChanges;
+import io.chivehollow.coordination.forwarding.speed.SpeedListener;
 
 /**
  * Records the outcomes and durations of forwarded requests.
  *
  * <p>Thread-safe.
  */
-public final class ForwardMetrics implements ServerChanges {
+public final class ForwardMetrics implements ServerChanges, SpeedListener {
 
     private static final String PREFIX = "forwarding.";
+    private static final double PERCENT = 100;
 
     private final MetricRegistry registry;
 
@@ -54,6 +56,17 @@
         registry.counter(PREFIX + "load_unreadable." + reason.metricName()).inc();
     }
 
+    @Override
+    public void onSlowness(String service, double slowness) {
+        registry.histogram(PREFIX + "server_slowness." + service).update(Math.round(slowness * PERCENT));
+    }
+
+    @Override
+    public void onChoice(String service, boolean isReportCurrent) {
+        String use = isReportCurrent ? "used" : "expired";
+        registry.counter(PREFIX + "machine_reports." + use + "." + service).inc();
+    }
+
     void onRetry(String reason) {
         registry.counter(PREFIX + "repeats." + reason).inc();
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseChecks.java
@@ -50,12 +50,15 @@
         if (NOT_RUN_STATUSES.contains(status) && !fields.isNotRun()) {
             return "status " + status + " without the statement that the request was not run";
         }
-        boolean isSuccess = status >= OK && status < REDIRECTION;
-        return isSuccess && !fields.isSigned()
+        return isSuccess(status) && !fields.isSigned()
                 ? "a success response without the signature of the backend server"
                 : null;
     }
 
+    static boolean isSuccess(int status) {
+        return status >= OK && status < REDIRECTION;
+    }
+
     /** Marks a backend server that has refused a request, so that requests avoid it for a while. */
     static void onRefused(ForwardServices services, Backend backend, ResponseFields fields) {
         long now = services.nanoTime().getAsLong();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
@@ -44,6 +44,11 @@
     /** Returns whether another backend server can resume the response at the point of interruption. */
     boolean canResume();
 
+    /** Returns the number of events that the present run has sent, 0 if the response is not a stream. */
+    default int eventsOfRun() {
+        return 0;
+    }
+
     /** Returns the id of the last event that was sent to the caller, or an empty value if it has no numeric id. */
     OptionalLong lastEventId();
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -7,6 +7,7 @@
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendListener;
 import io.chivehollow.coordination.forwarding.backend.ResponseFraming;
+import io.chivehollow.coordination.forwarding.backend.WorkTimer;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -75,9 +76,12 @@
             FullHttpRequest httpRequest) {
         history.onSent();
         Attempt started = new Attempt(backend, promptTokens, memoryTokens, false);
+        WorkTimer timer =
+                WorkTimer.start(backend, promptTokens == 0, services.nanoTime().getAsLong());
         openAttempt.start(started);
         openAttempt.onSent(
-                started, services.connections().send(backend, httpRequest, new ResponseListener(started, admitted)));
+                started,
+                services.connections().send(backend, httpRequest, new ResponseListener(started, admitted, timer)));
     }
 
     void release() {
@@ -107,6 +111,7 @@
 
         private final Attempt started;
         private final Admission.AdmittedRequest admitted;
+        private final WorkTimer timer;
         private final long startNanos = services.nanoTime().getAsLong();
         private boolean isDiscarded;
         private boolean isNotRun;
@@ -116,9 +121,10 @@
         private long discardedBytes;
         private int status;
 
-        ResponseListener(Attempt started, Admission.AdmittedRequest admitted) {
+        ResponseListener(Attempt started, Admission.AdmittedRequest admitted, WorkTimer timer) {
             this.started = started;
             this.admitted = admitted;
+            this.timer = timer;
         }
 
         @Override
@@ -187,6 +193,9 @@
         private void onFirstByte() {
             started.isPrefillDone = true;
             started.backend.onPrefillDone(started.promptTokens);
+            if (ResponseChecks.isSuccess(status)) {
+                timer.onFirstOutput(services.nanoTime().getAsLong());
+            }
             if (status == ResponseChecks.OK) {
                 services.crashes().onAnswerBegun(request.fields().promptParts());
             }
@@ -207,6 +216,7 @@
             }
             if (!sink.isWritable()) {
                 openAttempt.setReading(false);
+                timer.onPaused();
             }
             return isWithinLimits;
         }
@@ -233,6 +243,7 @@
             } else {
                 started.backend.onSuccess();
                 started.backend.estimates().onRun(started.memoryTokens, openMs());
+                timer.onEnd(relay.eventsOfRun(), services.nanoTime().getAsLong());
                 history.onComplete();
                 OptionalLong lastEventId = relay.lastEventId();
                 trace.addTimedStep(
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
@@ -83,6 +83,11 @@
         return hasStarted ? events.lastId() : OptionalLong.empty();
     }
 
+    @Override
+    public int eventsOfRun() {
+        return events.eventsOfRun();
+    }
+
     @Override
     public void release() {
         events.release();
