Plan the prefill pool with the mean speed of its servers

Cause: the planner took the speed of the fastest tenth of the prompts for that of all prefill servers. Change: for services whose servers are chosen by time, the time of a prompt counts with the mean of the servers' speeds. Result: prefillPoolIsPlannedWithTheMeanSpeedOfItsServers fails without the mean (ratio above 1.25 times that of the pool) and passes.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -96,8 +96,7 @@
                 adapter.dialect(),
                 table,
                 connections,
-                service ->
-                        table.estimates(service).decodeServersPerPrefillServer(admission.serverMemoryTokens(service)));
+                service -> table.decodeServersPerPrefillServer(service, admission.serverMemoryTokens(service)));
         this.ingress = Ingress.start(settings.address(), services);
         InputDelay inputDelay = InputDelay.start(context.eventLoops(), System::nanoTime);
         this.operatorEndpoint = Endpoint.start(
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
@@ -10,6 +10,7 @@
 import java.util.function.LongSupplier;
 
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
+import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 import io.chivehollow.coordination.forwarding.speed.SpeedListener;
 import io.chivehollow.coordination.forwarding.speed.WorkTimes;
@@ -118,6 +119,29 @@
         return 2 * stating > reporting;
     }
 
+    /**
+     * Returns how many decode servers one prefill server of the service keeps busy, or 0 if it is not known.
+     *
+     * <p>The speed of an idle server is that of the fastest ones; where servers differ, the mean of their speeds counts.
+     *
+     * @param serverMemoryTokens memory of one decode server in tokens
+     */
+    public double decodeServersPerPrefillServer(String service, long serverMemoryTokens) {
+        long now = nanoTime.getAsLong();
+        double slowness = choosesByTime(service, now) ? meanPrefillSlowness(service, now) : 1;
+        return estimates(service).decodeServersPerPrefillServer(serverMemoryTokens, slowness);
+    }
+
+    private double meanPrefillSlowness(String service, long now) {
+        double meanSpeed = byId.values().stream()
+                .filter(backend -> backend.role() == Role.PREFILL
+                        && backend.entry().service().equals(service))
+                .mapToDouble(backend -> 1 / backend.speed().meanSlowness(now))
+                .average()
+                .orElse(1);
+        return 1 / meanSpeed;
+    }
+
     SpeedListener speeds() {
         return speeds;
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/estimate/EngineEstimates.java
@@ -149,6 +149,11 @@
         return meanRunMs;
     }
 
+    /** Returns the ratio for prefill servers that are all as fast as the prompts show; see the other method. */
+    public double decodeServersPerPrefillServer(long serverMemoryTokens) {
+        return decodeServersPerPrefillServer(serverMemoryTokens, 1);
+    }
+
     /**
      * Returns how many decode servers one prefill server keeps busy, or 0 as long as too few requests have ended.
      *
@@ -156,12 +161,15 @@
      * times its share of the memory.
      *
      * @param serverMemoryTokens memory of one decode server in tokens
+     * @param prefillSlowness how much longer the prefill servers take on average than a server with the speed of
+     *     {@link #prefillTokensPerMs}
      */
-    public double decodeServersPerPrefillServer(long serverMemoryTokens) {
+    public double decodeServersPerPrefillServer(long serverMemoryTokens, double prefillSlowness) {
+        checkArgument(prefillSlowness > 0, "prefillSlowness must be positive, but was %s", prefillSlowness);
         if (promptCount < MIN_SAMPLES || runCount < MIN_SAMPLES || serverMemoryTokens <= 0) {
             return 0;
         }
-        double prefillMs = meanPromptTokens / prefillTokensPerMs();
+        double prefillMs = meanPromptTokens / prefillTokensPerMs() * prefillSlowness;
         return meanRunMs * Math.min(1, meanMemoryTokens / serverMemoryTokens) / prefillMs;
     }
 }
--- a/src/test/java/io/chivehollow/coordination/forwarding/backend/SelectionByTimeTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/backend/SelectionByTimeTest.java
@@ -18,6 +18,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /** Guards against a choice by time where servers do not state it, and against servers that are near but full. */
 public class SelectionByTimeTest {
@@ -205,4 +206,30 @@
         timer.onEnd(51, nowNanos + 3_000 * MS);
         assertEquals(decode.speed().slowness(nowNanos), before);
     }
+
+    /**
+     * Load: prompts of 5,000 tokens at prefill servers of 0.6, 1.0 and 1.6 of the usual speed. The pool must be planned
+     * with their mean speed; the fast third alone would make the planner take away too many prefill servers.
+     */
+    @Test
+    public void prefillPoolIsPlannedWithTheMeanSpeedOfItsServers() {
+        double[] speeds = {0.6, 1.0, 1.6};
+        List<Backend> servers = List.of(
+                list("p0", "near", Role.PREFILL), list("p1", "near", Role.PREFILL), list("p2", "near", Role.PREFILL));
+        for (int prompt = 0; prompt < 240; prompt++) {
+            Backend server = servers.get(prompt % 3);
+            report(server, 0, 100);
+            Object key = new Object();
+            server.promptQueue().onStart(key, 5_000, nowNanos);
+            nowNanos += (long) (5_000 / 50 / speeds[prompt % 3] * MS);
+            server.promptQueue().onEnd(key, true, nowNanos);
+            server.estimates().onRun(6_000, 2_500);
+            nowNanos += 1_000 * MS;
+            report(server, 0, 100);
+        }
+        double meanPrefillMs = 5_000 / (50 * (0.6 + 1.0 + 1.6) / 3);
+        double expected = 2_500 * 6_000 / 48_000.0 / meanPrefillMs;
+        assertEquals(table.decodeServersPerPrefillServer("s", 48_000), expected, 0.25 * expected);
+        assertTrue(table.estimates("s").decodeServersPerPrefillServer(48_000) > 1.25 * expected);
+    }
 }
