--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
@@ -122,7 +122,8 @@
     /**
      * Returns how many decode servers one prefill server of the service keeps busy, or 0 if it is not known.
      *
-     * <p>The speed of an idle server is that of the fastest ones; where servers differ, the mean of their speeds counts.
+     * <p>The speed of an idle server is that of the fastest ones; where servers differ, the mean of their speeds
+     * counts.
      *
      * @param serverMemoryTokens memory of one decode server in tokens
      */
