Serve requests for memory in the order of their urgency

Cause: the memory queue is first come, first served, and the wait grows with the target of the route. At services whose routes or teams differ in priority, the least urgent requests have the longest targets and get most of the memory.

Change: a queue policy (package queue) orders the requests of such services by priority, with ageing, by the target and by the share of the team. Other processes are not visible, so less urgent requests are tried less often and need more free memory once memory is scarce. Last tries of callers wait longer. All other services keep their order (ArrivalLine).

--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -10,6 +10,7 @@
 import io.chivehollow.coordination.config.ConfigView;
 import io.chivehollow.coordination.config.Configuration;
 import io.chivehollow.coordination.forwarding.backend.PromptDemand;
+import io.chivehollow.coordination.forwarding.queue.Urgency;
 import io.chivehollow.coordination.forwarding.route.RouteTable;
 import io.chivehollow.protocol.wire.EngineLimits;
 import io.chivehollow.protocol.wire.ForwardRoute;
@@ -118,8 +119,7 @@
         }
         String service = RouteTable.selectService(route.get(), random.nextDouble());
         if (route.get().getOpen() || !routes.get().requiresApiKeys()) {
-            return Optional.of(new AdmittedRequest(
-                    routes.get().revision(), route.get(), service, serviceTimes(routes.get(), service), null));
+            return Optional.of(admitted(routes.get(), route.get(), service, null));
         }
         if (!isFresh) {
             onRefusal.accept(stale("This instance cannot prove that its API keys are current"));
@@ -135,8 +135,20 @@
                             : Refusal.of(ErrorCode.INVALID_KEY, "The API key is not valid"));
             return Optional.empty();
         }
-        return Optional.of(new AdmittedRequest(
-                routes.get().revision(), route.get(), service, serviceTimes(routes.get(), service), team.get()));
+        return Optional.of(admitted(routes.get(), route.get(), service, team.get()));
+    }
+
+    private static AdmittedRequest admitted(
+            RouteTable routes, ForwardRoute route, String service, @Nullable TeamAccess access) {
+        int priority = access == null ? route.getPriority() : RouteTable.priority(route, access);
+        Urgency urgency = routes.hasPriorities(service)
+                ? new Urgency(
+                        routes.priorityRank(service, priority),
+                        access == null ? NO_TEAM : access.getTeam(),
+                        access == null ? 0 : Math.max(0, access.getRatePerSecond()))
+                : null;
+        return new AdmittedRequest(
+                routes.revision(), route, service, serviceTimes(routes, service), access, priority, urgency);
     }
 
     private static ServiceTimes serviceTimes(RouteTable routes, String service) {
@@ -169,9 +181,17 @@
      * @param service the service selected by the weights of the route
      * @param times times for which the service retains what the request has obtained
      * @param access the team; null on open routes
+     * @param priority priority of the team or the route, 0 is the most urgent
+     * @param urgency urgency among the service's requests, or null if all of them have the same priority
      */
     record AdmittedRequest(
-            long revision, ForwardRoute route, String service, ServiceTimes times, @Nullable TeamAccess access) {
+            long revision,
+            ForwardRoute route,
+            String service,
+            ServiceTimes times,
+            @Nullable TeamAccess access,
+            int priority,
+            @Nullable Urgency urgency) {
 
         Optional<TeamId> limitedTeam() {
             return access == null || access.getRatePerSecond() <= 0
@@ -195,12 +215,12 @@
         }
 
         PromptDemand promptDemand(ForwardRequest request) {
-            long gapMs = route.getGapMs() > 0 ? route.getGapMs() : route.getTargetMs() / DEFAULT_GAP_TARGET_DIVISOR;
-            return new PromptDemand(service, request.fields().promptTokens(), route.getTargetMs(), gapMs);
+            return new PromptDemand(service, request.fields().promptTokens(), route.getTargetMs(), gapMs());
         }
 
-        int priority() {
-            return access != null && access.getHasPriority() ? access.getPriority() : route.getPriority();
+        /** Returns the longest pause in milliseconds between events of a response that is on time. */
+        long gapMs() {
+            return route.getGapMs() > 0 ? route.getGapMs() : route.getTargetMs() / DEFAULT_GAP_TARGET_DIVISOR;
         }
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
@@ -1,16 +1,18 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import io.chivehollow.coordination.forwarding.backend.ServerChanges;
+import io.chivehollow.coordination.forwarding.queue.QueueEvents;
 
 /**
  * Records the outcomes and durations of forwarded requests.
  *
  * <p>Thread-safe.
  */
-public final class ForwardMetrics implements ServerChanges {
+public final class ForwardMetrics implements ServerChanges, QueueEvents {
 
     private static final String PREFIX = "forwarding.";
 
@@ -51,4 +53,21 @@
     void onRetry(String reason) {
         registry.counter(PREFIX + "repeats." + reason).inc();
     }
+
+    @Override
+    public void onWaiting(int rank) {
+        registry.counter(queueName(rank, "waiting")).inc();
+    }
+
+    @Override
+    public void onWaitEnded(int rank, Outcome outcome, long waitedNanos) {
+        registry.counter(queueName(rank, "waiting")).dec();
+        registry.counter(queueName(rank, outcome.name().toLowerCase(Locale.ROOT)))
+                .inc();
+        registry.timer(queueName(rank, "wait")).update(waitedNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private static String queueName(int rank, String name) {
+        return PREFIX + "queue.rank" + rank + "." + name;
+    }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
@@ -61,7 +61,7 @@
                 budget,
                 selector,
                 connections,
-                MemoryQueue.create(loop, nanoTime, dialect, selector, connections),
+                MemoryQueue.create(loop, nanoTime, dialect, selector, connections, metrics),
                 new RetryBudget(limits.retries(), nanoTime, limits.processCount()),
                 new RetrySchedule(nanoTime, limits.processCount()),
                 limits.crashes(),
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/MemoryStage.java
@@ -5,6 +5,8 @@
 
 import io.chivehollow.base.FailureDomain;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
+import io.chivehollow.coordination.forwarding.queue.Urgency;
+import io.chivehollow.coordination.forwarding.queue.WaitLimits;
 import io.chivehollow.coordination.forwarding.reserve.MemoryRequest;
 import io.chivehollow.coordination.forwarding.reserve.MemoryReservation;
 import io.chivehollow.coordination.forwarding.reserve.OutputEstimate;
@@ -76,7 +78,9 @@
                 admitted.times().reservationMs(),
                 isLate,
                 Math.max(1, maxWaitMs),
-                isOutOfService);
+                isOutOfService,
+                admitted.urgency(),
+                services.admission().serverMemoryTokens(admitted.service()));
         queued = services.memoryQueue().add(memoryRequest, granted -> {
             queued = null;
             if (granted == null) {
@@ -88,12 +92,24 @@
                 onGranted.run();
             }
         });
+        traceWait(admitted.urgency(), queued);
+    }
+
+    private void traceWait(@Nullable Urgency urgency, @Nullable QueuedMemoryRequest waiting) {
+        if (urgency != null && waiting != null) {
+            trace.addTimedStep("waits for memory with rank " + urgency.rank() + " behind "
+                    + services.memoryQueue().countBefore(waiting));
+        }
     }
 
     /** Returns the time for which the request may wait for memory from now on; see {@link #requestMemory}. */
     long remainingWaitMs(Admission.AdmittedRequest admitted, boolean hasEarlierAttempt) {
-        // The time of a failed attempt was not spent on waiting.
-        return maxWaitMs(admitted, isLate(admitted, hasEarlierAttempt)) - (hasEarlierAttempt ? 0 : elapsedMs());
+        boolean isLate = isLate(admitted, hasEarlierAttempt);
+        if (hasEarlierAttempt) {
+            // The time of a failed attempt was not spent on waiting.
+            return isLate ? MAX_LATE_WAIT_MS : maxWaitMs(admitted, false);
+        }
+        return maxWaitMs(admitted, isLate) - elapsedMs();
     }
 
     private boolean isLate(Admission.AdmittedRequest admitted, boolean hasEarlierAttempt) {
@@ -106,8 +122,14 @@
         return elapsedMs() < maxWaitMs(admitted, isCallerRetry(admitted));
     }
 
-    private static long maxWaitMs(Admission.AdmittedRequest admitted, boolean isLate) {
-        return isLate ? MAX_LATE_WAIT_MS : admitted.route().getTargetMs() * WAIT_PERCENT / 100;
+    private long maxWaitMs(Admission.AdmittedRequest admitted, boolean isLate) {
+        long targetMs = admitted.route().getTargetMs();
+        if (admitted.urgency() == null) {
+            return isLate ? MAX_LATE_WAIT_MS : targetMs * WAIT_PERCENT / 100;
+        }
+        double prefillMs = request.fields().promptTokens()
+                / services.selector().estimates(admitted.service()).prefillTokensPerMs();
+        return isLate ? WaitLimits.lateMs(targetMs, admitted.gapMs()) : WaitLimits.onTimeMs(targetMs, prefillMs);
     }
 
     /** Returns the memory in tokens that the request most likely needs; a run that needs more may be preempted. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueue.java
@@ -1,7 +1,6 @@
 package io.chivehollow.coordination.forwarding.reserve;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,60 +13,40 @@
 import io.chivehollow.coordination.forwarding.backend.Backend;
 import io.chivehollow.coordination.forwarding.backend.BackendConnections;
 import io.chivehollow.coordination.forwarding.backend.BackendSelector;
-import io.chivehollow.coordination.forwarding.backend.ShortResponse;
+import io.chivehollow.coordination.forwarding.queue.QueueEvents;
+import io.chivehollow.coordination.forwarding.queue.QueueEvents.Outcome;
+import io.chivehollow.coordination.forwarding.queue.Urgency;
 import io.netty.channel.EventLoop;
-import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Queues requests for language models until a backend server has reserved the memory that they need.
  *
  * <p>The memory of these models is full before their processors are, and the prefill of a prompt is wasted if there is
- * no room for its output. Requests that can still meet their target are served before those that cannot, each group in
- * the order of arrival. The requests of other processes are not visible here. A request that has missed its target
- * therefore first reserves {@link #LATE_MEMORY_FACTOR} times its memory and proceeds only where so much is free. Used
- * on the event loop of the forwarding role only.
+ * no room for its output. The requests of a service are served in the order of their arrival, or of their urgency if
+ * the deployment distinguishes priorities at the service. The requests of other processes are not visible here. A
+ * request that should yield to them first reserves a multiple of its memory and proceeds only where so much is free.
+ * Used on the event loop of the forwarding role only.
  */
 public final class MemoryQueue {
 
     /** Concurrent reservation requests for one service; each takes a round trip of a few milliseconds. */
     private static final int MAX_OPEN_REQUESTS = 4;
 
-    /**
-     * Multiple of its own memory that must be free before a late request is served.
-     *
-     * <p>Without this factor a quarter of the responses in bursts were late ones, and each took the memory of a request
-     * that could still be on time.
-     */
-    private static final int LATE_MEMORY_FACTOR = 2;
-
-    /**
-     * Pause in milliseconds after all backend servers have refused; at full load a request ends at one of them about
-     * every 50 ms.
-     */
-    private static final int PAUSE_MS = 25;
-
-    private static final int OK = 200;
-    private static final Logger LOG = Logger.getLogger(MemoryQueue.class);
-
-    private final EventLoop loop;
+    private final Timers timers;
     private final LongSupplier nanoTime;
-    private final Dialect dialect;
     private final BackendSelector selector;
-    private final BackendConnections connections;
+    private final MemoryCalls calls;
+    private final QueueEvents events;
     private final Map<String, ServiceQueue> queues = new HashMap<>();
 
     private MemoryQueue(
-            EventLoop loop,
-            LongSupplier nanoTime,
-            Dialect dialect,
-            BackendSelector selector,
-            BackendConnections connections) {
-        this.loop = loop;
+            Timers timers, LongSupplier nanoTime, BackendSelector selector, MemoryCalls calls, QueueEvents events) {
+        this.timers = timers;
         this.nanoTime = nanoTime;
-        this.dialect = dialect;
         this.selector = selector;
-        this.connections = connections;
+        this.calls = calls;
+        this.events = events;
     }
 
     /** Returns an empty queue that runs on the event loop. */
@@ -76,21 +55,39 @@
             LongSupplier nanoTime,
             Dialect dialect,
             BackendSelector selector,
-            BackendConnections connections) {
-        return new MemoryQueue(loop, nanoTime, dialect, selector, connections);
+            BackendConnections connections,
+            QueueEvents events) {
+        return create(Timers.of(loop), nanoTime, selector, MemoryCalls.over(connections, dialect, nanoTime), events);
+    }
+
+    static MemoryQueue create(
+            Timers timers, LongSupplier nanoTime, BackendSelector selector, MemoryCalls calls, QueueEvents events) {
+        return new MemoryQueue(timers, nanoTime, selector, calls, events);
     }
 
     /** Adds a request; the listener receives its reservation, or null if the wait time has expired. */
     public QueuedMemoryRequest add(MemoryRequest request, Consumer<@Nullable MemoryReservation> listener) {
-        long expiryNanos = nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(request.maxWaitMs());
-        QueuedMemoryRequest queued = new QueuedMemoryRequest(request, expiryNanos, listener);
+        long now = nanoTime.getAsLong();
+        long expiryNanos = now + TimeUnit.MILLISECONDS.toNanos(request.maxWaitMs());
         ServiceQueue queue = queues.computeIfAbsent(request.service(), service -> new ServiceQueue());
-        queued.setTimer(loop.schedule(() -> queued.complete(null), request.maxWaitMs(), TimeUnit.MILLISECONDS));
-        queue.queueFor(request).addLast(queued);
-        queue.sendRequests();
+        QueuedMemoryRequest queued = new QueuedMemoryRequest(request, now, expiryNanos, listener, queue::onDone);
+        queued.setTimer(timers.schedule(() -> queued.refuse(Outcome.EXPIRED), request.maxWaitMs()));
+        queue.add(queued, now);
         return queued;
     }
 
+    /** Returns the number of waiting requests of the service that are served before the request. */
+    public int countBefore(QueuedMemoryRequest queued) {
+        ServiceQueue queue = queues.get(queued.request.service());
+        return queue == null ? 0 : queue.line.countBefore(queued, nanoTime.getAsLong());
+    }
+
+    /** Returns the expected time in milliseconds until the service has served its queue, 0 if it is not known. */
+    public long drainMs(String service) {
+        ServiceQueue queue = queues.get(service);
+        return queue == null ? 0 : TimeUnit.NANOSECONDS.toMillis(queue.line.drainNanos(nanoTime.getAsLong()));
+    }
+
     /**
      * Releases a reservation that is not used. A backend server that wants no requests gets the release later, or not
      * at all if the reservation expires before.
@@ -100,20 +97,11 @@
         long heldMs = reservation.backend().heldMs(now);
         if (heldMs > 0) {
             if (TimeUnit.MILLISECONDS.toNanos(heldMs) < reservation.expiryNanos() - now) {
-                loop.schedule(() -> release(reservation), heldMs, TimeUnit.MILLISECONDS);
+                timers.schedule(() -> release(reservation), heldMs);
             }
             return;
         }
-        connections.sendOwn(
-                reservation.backend(),
-                dialect.releaseReservation(reservation.backend().id(), reservation.id()),
-                ShortResponse.of(
-                        reservation.backend(),
-                        dialect,
-                        nanoTime,
-                        (status, body) ->
-                                LOG.debugf("Response to the release of a memory reservation: status %d", status)),
-                ShortResponse.TIMEOUT_MS);
+        calls.release(reservation.backend(), reservation.id());
     }
 
     /**
@@ -122,6 +110,7 @@
     public void onMemoryReleased(String service) {
         ServiceQueue queue = queues.get(service);
         if (queue != null) {
+            queue.line.onReleased(nanoTime.getAsLong());
             queue.sendRequests();
         }
     }
@@ -129,106 +118,124 @@
     /** The queued requests of one service. */
     private final class ServiceQueue {
 
-        private final Deque<QueuedMemoryRequest> onTime = new ArrayDeque<>();
-        private final Deque<QueuedMemoryRequest> late = new ArrayDeque<>();
+        private WaitingLine line = new ArrivalLine();
         private int openRequests;
-        private boolean isPaused;
+        private Runnable stopPause = () -> {};
+        private long pauseEndNanos = Long.MAX_VALUE;
+
+        void add(QueuedMemoryRequest queued, long now) {
+            Urgency urgency = queued.request.urgency();
+            if ((urgency != null) != line instanceof UrgencyLine && openRequests == 0) {
+                List<QueuedMemoryRequest> present = new ArrayList<>(line.untried());
+                line = urgency == null ? new ArrivalLine() : new UrgencyLine();
+                present.forEach(waiting -> line.add(waiting, now));
+            }
+            if (urgency != null) {
+                events.onWaiting(urgency.rank());
+            }
+            line.add(queued, now);
+            refuse(line.hopeless(now), Outcome.HOPELESS);
+            sendRequests();
+        }
 
-        Deque<QueuedMemoryRequest> queueFor(MemoryRequest request) {
-            return request.isLate() ? late : onTime;
+        void onDone(QueuedMemoryRequest queued, Outcome outcome) {
+            long now = nanoTime.getAsLong();
+            line.onDone(queued, outcome == Outcome.SERVED, now);
+            Urgency urgency = queued.request.urgency();
+            if (urgency != null) {
+                events.onWaitEnded(urgency.rank(), outcome, now - queued.arrivalNanos);
+            }
         }
 
         void sendRequests() {
             while (openRequests < MAX_OPEN_REQUESTS) {
-                QueuedMemoryRequest next = poll();
-                if (next == null) {
+                long now = nanoTime.getAsLong();
+                List<QueuedMemoryRequest> candidates = line.candidates(now);
+                if (candidates.isEmpty()) {
+                    if (!line.untried().isEmpty()) {
+                        pause(line.pauseMs(now));
+                    }
                     return;
                 }
-                long tokens = next.request.tokens() * (next.request.isLate() ? LATE_MEMORY_FACTOR : 1);
-                Optional<Backend> backend = selector.selectForMemory(
-                        next.request.service(), tokens, next.request.isOutOfService(), nanoTime.getAsLong());
-                if (backend.isEmpty()) {
-                    queueFor(next.request).addFirst(next);
-                    refuseUnservable();
-                    pause();
+                if (!sendFirstPossible(candidates, now)) {
+                    refuseUnservable(now);
+                    pause(line.pauseMs(now));
                     return;
                 }
-                sendRequest(next, backend.get(), tokens);
             }
         }
 
-        /** Refuses the queued requests for which no backend server can return before their wait time expires. */
-        private void refuseUnservable() {
-            long now = nanoTime.getAsLong();
-            for (Deque<QueuedMemoryRequest> queued : List.of(onTime, late)) {
-                queued.removeIf(next -> {
-                    boolean isUnservable = next.isExpiredIn(unavailableNanos(next.request, now), now);
-                    if (isUnservable) {
-                        // The listener may add requests to the queue or retry the queued ones.
-                        loop.execute(() -> next.complete(null));
-                    }
-                    return isUnservable;
-                });
+        /** Sends the first request for which a backend server may have memory; returns whether there is one. */
+        private boolean sendFirstPossible(List<QueuedMemoryRequest> candidates, long now) {
+            for (QueuedMemoryRequest next : candidates) {
+                long tokens = line.requiredTokens(next, now);
+                Optional<Backend> backend =
+                        selector.selectForMemory(next.request.service(), tokens, next.request.isOutOfService(), now);
+                if (backend.isPresent()) {
+                    line.onTried(next, now);
+                    sendRequest(next, backend.get(), tokens);
+                    return true;
+                }
+                line.onUnplaced(next, now);
             }
+            return false;
         }
 
-        private long unavailableNanos(MemoryRequest request, long now) {
-            return selector.unavailableNanos(request.service(), true, request.isOutOfService(), now);
+        /** Refuses the queued requests for which no backend server can return before their wait time expires. */
+        private void refuseUnservable(long now) {
+            refuse(
+                    line.untried().stream()
+                            .filter(next -> next.isExpiredIn(unavailableNanos(next.request, now), now))
+                            .toList(),
+                    Outcome.UNAVAILABLE);
         }
 
-        private @Nullable QueuedMemoryRequest poll() {
-            for (Deque<QueuedMemoryRequest> queued : List.of(onTime, late)) {
-                for (QueuedMemoryRequest next = queued.pollFirst(); next != null; next = queued.pollFirst()) {
-                    if (!next.isDone()) {
-                        return next;
-                    }
-                }
-            }
-            return null;
+        private void refuse(List<QueuedMemoryRequest> refused, Outcome outcome) {
+            // The listener may add requests to the queue or retry the queued ones.
+            refused.forEach(next -> timers.schedule(() -> next.refuse(outcome), 0));
         }
 
-        private void pause() {
-            if (!isPaused) {
-                isPaused = true;
-                loop.schedule(
+        private long unavailableNanos(MemoryRequest request, long now) {
+            return selector.unavailableNanos(request.service(), true, request.isOutOfService(), now);
+        }
+
+        private void pause(long pauseMs) {
+            long endNanos = nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(pauseMs);
+            if (endNanos < pauseEndNanos) {
+                stopPause.run();
+                pauseEndNanos = endNanos;
+                stopPause = timers.schedule(
                         () -> {
-                            isPaused = false;
+                            pauseEndNanos = Long.MAX_VALUE;
                             sendRequests();
                         },
-                        PAUSE_MS,
-                        TimeUnit.MILLISECONDS);
+                        pauseMs);
             }
         }
 
         private void sendRequest(QueuedMemoryRequest queued, Backend backend, long tokens) {
             openRequests++;
             backend.onReserve(tokens);
-            connections.sendOwn(
+            calls.reserve(
                     backend,
-                    dialect.reserve(backend.id(), tokens, queued.request.reservationMs()),
-                    ShortResponse.of(
-                            backend,
-                            dialect,
-                            nanoTime,
-                            (status, body) -> onResponse(queued, backend, tokens, status, body)),
-                    ShortResponse.TIMEOUT_MS);
+                    tokens,
+                    queued.request.reservationMs(),
+                    (isAnswered, id) -> onResponse(queued, backend, tokens, isAnswered, id));
         }
 
-        private void onResponse(QueuedMemoryRequest queued, Backend backend, long tokens, int status, byte[] body) {
+        private void onResponse(
+                QueuedMemoryRequest queued, Backend backend, long tokens, boolean isAnswered, Optional<String> id) {
             openRequests--;
             backend.onReserveEnd(tokens);
-            Optional<String> id = status == OK ? dialect.readReservation(body) : Optional.empty();
+            long now = nanoTime.getAsLong();
             if (id.isPresent()) {
                 MemoryReservation reservation = new MemoryReservation(
-                        backend,
-                        id.get(),
-                        tokens,
-                        nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(queued.request.reservationMs()));
+                        backend, id.get(), tokens, now + TimeUnit.MILLISECONDS.toNanos(queued.request.reservationMs()));
                 if (queued.isDone()) {
                     release(reservation);
-                } else if (!backend.mayReceive(nanoTime.getAsLong())) {
+                } else if (!backend.mayReceive(now)) {
                     release(reservation);
-                    queueFor(queued.request).addFirst(queued);
+                    line.onReturned(queued, now);
                 } else if (tokens > queued.request.tokens()) {
                     release(reservation);
                     sendRequest(queued, backend, queued.request.tokens());
@@ -236,13 +243,14 @@
                     queued.complete(reservation);
                 }
             } else {
-                if (status == ShortResponse.NO_STATUS) {
-                    backend.onFailure(nanoTime.getAsLong());
+                if (isAnswered) {
+                    backend.onMemoryFull(tokens, now);
+                    line.onMemoryFull(now);
                 } else {
-                    backend.onMemoryFull(tokens, nanoTime.getAsLong());
+                    backend.onFailure(now);
                 }
                 if (!queued.isDone()) {
-                    queueFor(queued.request).addFirst(queued);
+                    line.onReturned(queued, now);
                 }
             }
             sendRequests();
--- a/src/main/java/io/chivehollow/coordination/forwarding/reserve/QueuedMemoryRequest.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/reserve/QueuedMemoryRequest.java
@@ -1,8 +1,9 @@
 package io.chivehollow.coordination.forwarding.reserve;
 
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
-import io.netty.util.concurrent.ScheduledFuture;
+import io.chivehollow.coordination.forwarding.queue.QueueEvents.Outcome;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,19 +15,33 @@
 public final class QueuedMemoryRequest {
 
     final MemoryRequest request;
+    final long arrivalNanos;
     private final long expiryNanos;
     private final Consumer<@Nullable MemoryReservation> listener;
-    private @Nullable ScheduledFuture<?> timer;
+    private final BiConsumer<QueuedMemoryRequest, Outcome> onDone;
+    private Runnable stopTimer = () -> {};
     private boolean isDone;
 
-    QueuedMemoryRequest(MemoryRequest request, long expiryNanos, Consumer<@Nullable MemoryReservation> listener) {
+    QueuedMemoryRequest(
+            MemoryRequest request,
+            long arrivalNanos,
+            long expiryNanos,
+            Consumer<@Nullable MemoryReservation> listener,
+            BiConsumer<QueuedMemoryRequest, Outcome> onDone) {
         this.request = request;
+        this.arrivalNanos = arrivalNanos;
         this.expiryNanos = expiryNanos;
         this.listener = listener;
+        this.onDone = onDone;
     }
 
-    void setTimer(ScheduledFuture<?> started) {
-        timer = started;
+    /** Sets the action that stops the timer of the wait. */
+    void setTimer(Runnable stop) {
+        stopTimer = stop;
+    }
+
+    long expiryNanos() {
+        return expiryNanos;
     }
 
     /** Returns whether the wait time will have expired after the given time. */
@@ -38,18 +53,30 @@
         return isDone;
     }
 
-    void complete(@Nullable MemoryReservation reservation) {
-        if (!isDone) {
-            cancel();
+    void complete(MemoryReservation reservation) {
+        if (end(Outcome.SERVED)) {
             listener.accept(reservation);
         }
     }
 
+    void refuse(Outcome outcome) {
+        if (end(outcome)) {
+            listener.accept(null);
+        }
+    }
+
     /** Cancels the request; the listener is not called any more. */
     public void cancel() {
-        isDone = true;
-        if (timer != null) {
-            timer.cancel(false);
+        end(Outcome.CANCELLED);
+    }
+
+    private boolean end(Outcome outcome) {
+        if (isDone) {
+            return false;
         }
+        isDone = true;
+        stopTimer.run();
+        onDone.accept(this, outcome);
+        return true;
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/route/RouteTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/route/RouteTable.java
@@ -1,10 +1,13 @@
 package io.chivehollow.coordination.forwarding.route;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.TreeSet;
 
 import io.chivehollow.protocol.wire.Deployment;
 import io.chivehollow.protocol.wire.ForwardLimits;
@@ -23,6 +26,7 @@
     private final Map<String, Map<String, ForwardRoute>> byHost = new HashMap<>();
     private final Map<String, ForwardService> services = new HashMap<>();
     private final Map<String, TeamAccess> teamByKey = new HashMap<>();
+    private final Map<String, NavigableSet<Integer>> priorities = new HashMap<>();
     private final boolean requiresApiKeys;
     private final ForwardLimits limits;
     private final long revision;
@@ -42,6 +46,20 @@
         this.requiresApiKeys = deployment.getRequiresApiKeys() || deployment.getTeamsCount() > 0;
         this.limits = deployment.getLimits();
         this.revision = deployment.getRevision();
+        for (ForwardRoute route : deployment.getRoutesList()) {
+            addPriorities(route, deployment.getTeamsList());
+        }
+    }
+
+    private void addPriorities(ForwardRoute route, List<TeamAccess> teams) {
+        for (WeightedService target : route.getTargetsList()) {
+            NavigableSet<Integer> found = priorities.computeIfAbsent(target.getService(), service -> new TreeSet<>());
+            if (route.getOpen() || !requiresApiKeys) {
+                found.add(route.getPriority());
+            } else {
+                teams.forEach(team -> found.add(priority(route, team)));
+            }
+        }
     }
 
     /** Returns the table of a deployment. */
@@ -75,6 +93,25 @@
         return Optional.ofNullable(teamByKey.get(apiKey));
     }
 
+    /** Returns the priority of the team's requests on the route; 0 is the most urgent. */
+    public static int priority(ForwardRoute route, TeamAccess team) {
+        return team.getHasPriority() ? team.getPriority() : route.getPriority();
+    }
+
+    /** Returns whether the requests for the service may have different priorities. */
+    public boolean hasPriorities(String service) {
+        return priorities(service).size() > 1;
+    }
+
+    /** Returns the number of priorities of the service's requests that are more urgent than the given one. */
+    public int priorityRank(String service, int priority) {
+        return priorities(service).headSet(priority).size();
+    }
+
+    private NavigableSet<Integer> priorities(String service) {
+        return priorities.getOrDefault(service, Collections.emptyNavigableSet());
+    }
+
     /** Returns the service with the id. */
     public Optional<ForwardService> service(String id) {
         return Optional.ofNullable(services.get(id));
