--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardMetrics.java
@@ -1,10 +1,12 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import io.chivehollow.coordination.forwarding.adapter.UnreadableLoad;
 import io.chivehollow.coordination.forwarding.backend.ServerChanges;
+import io.chivehollow.coordination.forwarding.queue.QueueEvents;
 import io.chivehollow.coordination.forwarding.speed.SpeedListener;
 
 /**
@@ -12,7 +14,7 @@
  *
  * <p>Thread-safe.
  */
-public final class ForwardMetrics implements ServerChanges, SpeedListener {
+public final class ForwardMetrics implements ServerChanges, SpeedListener, QueueEvents {
 
     private static final String PREFIX = "forwarding.";
     private static final double PERCENT = 100;
@@ -70,4 +72,21 @@
     void onRetry(String reason) {
         registry.counter(PREFIX + "repeats." + reason).inc();
     }
+
+    @Override
+    public void onWaiting(int rank) {
+        registry.counter(queueName(rank, "waiting")).inc();
+    }
+
+    @Override
+    public void onWaitEnded(int rank, Outcome outcome, long waitedNanos) {
+        registry.counter(queueName(rank, "waiting")).dec();
+        registry.counter(queueName(rank, outcome.name().toLowerCase(Locale.ROOT)))
+                .inc();
+        registry.timer(queueName(rank, "wait")).update(waitedNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private static String queueName(int rank, String name) {
+        return PREFIX + "queue.rank" + rank + "." + name;
+    }
 }
