Let the settings state what the machine grants to a process

Cause: a process can't tell how much processor, memory, descriptors and network it has, so no decision can depend on it. Nothing uses it yet.

--- a/src/main/java/io/chivehollow/settings/Settings.java
+++ b/src/main/java/io/chivehollow/settings/Settings.java
@@ -21,6 +21,7 @@
  *     are seeds
  * @param metricsAddress address at which health, readiness and metrics are served, or null if they are not served there
  * @param logFormat format of the log
+ * @param limits what the machine grants to the process
  * @param gateway settings of the gateway role, or null if the process does not run it
  * @param sidecar settings of the sidecar role, or null if the process does not run it
  * @param replica settings of the replica role, or null if the process does not run it
@@ -34,6 +35,7 @@
         OptionalInt peerPort,
         @Nullable InetSocketAddress metricsAddress,
         LogFormat logFormat,
+        ProcessLimits limits,
         @Nullable GatewaySettings gateway,
         @Nullable SidecarSettings sidecar,
         @Nullable ReplicaSettings replica,
@@ -43,7 +45,7 @@
         replicas = List.copyOf(replicas);
     }
 
-    /** Creates settings without a peer port and without the forwarding role. */
+    /** Creates settings without a peer port, without known limits and without the forwarding role. */
     public Settings(
             InstanceId instance,
             FailureDomain failureDomain,
@@ -62,6 +64,7 @@
                 OptionalInt.empty(),
                 metricsAddress,
                 logFormat,
+                ProcessLimits.unknown(),
                 gateway,
                 sidecar,
                 replica,
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -58,6 +58,17 @@
     private static final double DEFAULT_RETRY_WINDOW_S = 10;
     private static final int DEFAULT_FORWARDING_SHUTDOWN_MS = 7_000;
 
+    private static final double MIN_PROCESSOR_SHARE = 0.01;
+    private static final double MAX_PROCESSOR_SHARE = 1_024;
+    private static final double MIN_MEMORY_MB = 16;
+    private static final double MAX_MEMORY_MB = 1 << 24;
+
+    /** Below it, listeners and connections to the other instances leave none for callers. */
+    private static final int MIN_DESCRIPTORS = 64;
+
+    private static final double MIN_LINK_MBPS = 0.01;
+    private static final double MAX_LINK_MBPS = 1e6;
+
     private static final JsonMapper MAPPER = JsonMapper.builder()
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
@@ -113,6 +124,7 @@
         int peerPort = reader.wholeNumber("peer_port", 0, 0, MAX_PORT);
         InetSocketAddress metricsAddress = reader.optionalAddress("metrics_address");
         LogFormat logFormat = reader.optionalChoice("log_format", LogFormat.TEXT);
+        ProcessLimits limits = readLimits(reader.optionalObject("limits"));
         GatewaySettings gateway = readGateway(file, reader.optionalObject("gateway"));
         SidecarSettings sidecar = readSidecar(reader.optionalObject("sidecar"));
         ReplicaSettings replica = readReplica(file, instance, peerPort, replicas, reader.optionalObject("replica"));
@@ -133,6 +145,7 @@
                 peerPort == 0 ? OptionalInt.empty() : OptionalInt.of(peerPort),
                 metricsAddress,
                 logFormat,
+                limits,
                 gateway,
                 sidecar,
                 replica,
@@ -169,6 +182,19 @@
         return secret;
     }
 
+    private static ProcessLimits readLimits(@Nullable ObjectReader reader) {
+        if (reader == null) {
+            return ProcessLimits.unknown();
+        }
+        ProcessLimits limits = new ProcessLimits(
+                reader.number("processor_share", 0, MIN_PROCESSOR_SHARE, MAX_PROCESSOR_SHARE),
+                reader.number("memory_mb", 0, MIN_MEMORY_MB, MAX_MEMORY_MB),
+                reader.wholeNumber("max_descriptors", 0, MIN_DESCRIPTORS, Integer.MAX_VALUE),
+                reader.number("link_mbps", 0, MIN_LINK_MBPS, MAX_LINK_MBPS));
+        reader.checkNoOtherFields();
+        return limits;
+    }
+
     private static @Nullable ForwardingSettings readForwarding(@Nullable ObjectReader reader) {
         if (reader == null) {
             return null;
--- a/src/test/java/io/chivehollow/settings/SettingsLoaderTest.java
+++ b/src/test/java/io/chivehollow/settings/SettingsLoaderTest.java
@@ -56,6 +56,22 @@
         assertEquals(settings.replica().dataFolder(), folder.resolve("data"));
     }
 
+    @Test
+    public void limitsAreOptionalAndChecked() throws IOException {
+        assertEquals(load(VALID).limits(), ProcessLimits.unknown());
+        String start = VALID.replace("\"secret_file\"", "\"limits\": LIMITS, \"secret_file\"");
+        assertEquals(
+                load(start.replace("LIMITS", "{\"memory_mb\": 258, \"link_mbps\": 5.25}"))
+                        .limits(),
+                new ProcessLimits(0, 258, 0, 5.25));
+        String faulty = "{\"processor_share\": -1, \"memory_mb\": \"258\", \"max_descriptors\": 1.5, \"cores\": 2}";
+        SettingsException failure = expectThrows(SettingsException.class, () -> load(start.replace("LIMITS", faulty)));
+        List<String> paths = failure.faults().stream().map(SettingsFault::path).toList();
+        assertEquals(
+                List.copyOf(paths),
+                List.of("limits.processor_share", "limits.memory_mb", "limits.max_descriptors", "limits.cores"));
+    }
+
     @Test
     public void everyFaultIsReportedWithPathValueAndExpectation() throws IOException {
         String broken = VALID.replace("\"i1\", \"failure", "\"i 1\", \"failure")
