--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingContext.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingContext.java
@@ -11,6 +11,7 @@
 import io.chivehollow.coordination.crash.CrashLedger;
 import io.chivehollow.coordination.gateway.TokenBudget;
 import io.chivehollow.coordination.replica.ControlClient;
+import io.chivehollow.settings.ProcessLimits;
 import io.netty.channel.EventLoopGroup;
 
 /**
@@ -29,6 +30,7 @@
  * @param scheduler runs timers
  * @param random selects services and backend servers
  * @param registry registry of the metrics
+ * @param limits what the machine grants to the process
  */
 public record ForwardingContext(
         InstanceId instance,
@@ -41,4 +43,5 @@
         EventLoopGroup eventLoops,
         Scheduler scheduler,
         RandomGenerator random,
-        MetricRegistry registry) {}
+        MetricRegistry registry,
+        ProcessLimits limits) {}
--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -17,6 +17,7 @@
 import io.chivehollow.coordination.forwarding.flow.RetryLimits;
 import io.chivehollow.coordination.forwarding.flow.SharedLimits;
 import io.chivehollow.coordination.forwarding.ingress.Ingress;
+import io.chivehollow.coordination.forwarding.pressure.ProcessPressure;
 import io.chivehollow.coordination.forwarding.stage.RoleChangeSender;
 import io.chivehollow.settings.ForwardingSettings;
 import io.netty.channel.EventLoop;
@@ -98,7 +99,10 @@
                 connections,
                 service ->
                         table.estimates(service).decodeServersPerPrefillServer(admission.serverMemoryTokens(service)));
-        this.ingress = Ingress.start(settings.address(), services);
+        this.ingress = Ingress.start(
+                settings.address(),
+                services,
+                ProcessPressure.create(context.limits(), System::nanoTime, context.registry()));
         InputDelay inputDelay = InputDelay.start(context.eventLoops(), System::nanoTime);
         this.operatorEndpoint = Endpoint.start(
                 settings.operatorAddress(),
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -4,6 +4,7 @@
 
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -63,6 +64,9 @@
                 handler.onWriteFailure(written.cause());
             }
         });
+        if (!isEnded) {
+            listener.onWritten();
+        }
     }
 
     void failAfter(EventLoop loop, int timeoutMs) {
@@ -104,6 +108,15 @@
         }
     }
 
+    /** Returns the bytes of the request that the backend server has not taken yet. */
+    public long pendingBytes() {
+        if (channel == null) {
+            return 0;
+        }
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        return pending == null ? 0 : pending.totalPendingWriteBytes();
+    }
+
     /** Cancels the request; closing the connection makes the backend server stop its work. */
     public void cancel() {
         if (!isEnded) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -64,6 +64,7 @@
     private final LongSupplier nanoTime;
     private final Dialect dialect;
     private final Bootstrap bootstrap;
+    private int openChannels;
 
     private BackendConnections(EventLoop loop, LongSupplier nanoTime, Dialect dialect) {
         this.loop = loop;
@@ -77,6 +78,8 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        openChannels++;
+                        channel.closeFuture().addListener(closed -> openChannels--);
                         ResponseDecoder decoder = new ResponseDecoder();
                         BackendHandler handler = new BackendHandler(dialect, decoder);
                         channel.pipeline()
@@ -189,6 +192,11 @@
         send(backend, request, listener, true).failAfter(loop, timeoutMs);
     }
 
+    /** Returns the number of connections that are open or being opened. */
+    public int openChannels() {
+        return openChannels;
+    }
+
     long nanoTime() {
         return nanoTime.getAsLong();
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
@@ -11,6 +11,9 @@
  */
 public interface BackendListener {
 
+    /** Called when the request was passed to the connection, which may take it later. */
+    default void onWritten() {}
+
     /** Called with the head of the response. */
     void onHead(HttpResponse head);
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -1,6 +1,7 @@
 package io.chivehollow.coordination.forwarding.flow;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -139,6 +140,26 @@
                 routes.get().revision(), route.get(), service, serviceTimes(routes.get(), service), team.get()));
     }
 
+    /**
+     * Returns the priority that the request with the given host, path and API key would have, or an empty value if no
+     * route matches.
+     */
+    public OptionalInt priority(String host, String path, @Nullable String apiKey) {
+        Optional<RouteTable> routes = routes();
+        Optional<ForwardRoute> route = routes.flatMap(table -> table.route(host, path));
+        if (route.isEmpty()) {
+            return OptionalInt.empty();
+        }
+        TeamAccess team = apiKey == null || route.get().getOpen()
+                ? null
+                : routes.get().team(apiKey).orElse(null);
+        return OptionalInt.of(priority(route.get(), team));
+    }
+
+    private static int priority(ForwardRoute route, @Nullable TeamAccess team) {
+        return team != null && team.getHasPriority() ? team.getPriority() : route.getPriority();
+    }
+
     private static ServiceTimes serviceTimes(RouteTable routes, String service) {
         EngineLimits engine =
                 routes.service(service).map(ForwardService::getEngine).orElse(EngineLimits.getDefaultInstance());
@@ -200,7 +221,7 @@
         }
 
         int priority() {
-            return access != null && access.getHasPriority() ? access.getPriority() : route.getPriority();
+            return Admission.priority(route, access);
         }
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/BufferedRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/BufferedRelay.java
@@ -99,6 +99,11 @@
         return OptionalLong.empty();
     }
 
+    @Override
+    public long heldBytes() {
+        return buffered.readableBytes();
+    }
+
     @Override
     public void release() {
         buffered.release();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/CallerSink.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/CallerSink.java
@@ -20,6 +20,9 @@
     /** Returns whether the caller takes what it is sent; if not, what follows is buffered. */
     boolean isWritable();
 
+    /** Called after a part of a response was received, which is passed on or held by the process. */
+    default void onHeldChanged() {}
+
     /** Ends a complete response. */
     void end();
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/EventSplitter.java
@@ -144,9 +144,14 @@
         return pending.isReadable();
     }
 
+    /** Returns the size of the incomplete event in bytes. */
+    int partialBytes() {
+        return pending.readableBytes();
+    }
+
     /** Returns whether the incomplete event exceeds the limit; what follows may have no end. */
     boolean isPartialTooLong() {
-        return pending.readableBytes() > MAX_EVENT_BYTES;
+        return partialBytes() > MAX_EVENT_BYTES;
     }
 
     /** Returns the id of the last complete event, or an empty value if it had no numeric id. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -68,6 +68,7 @@
     private final MemoryStage memory;
     private final PrefillStage prefill;
     private final RunStage run;
+    private final RequestProgress progress;
     private Admission.@Nullable AdmittedRequest admitted;
     private @Nullable ScheduledFuture<?> timeout;
     private long endNanos;
@@ -86,6 +87,7 @@
         this.memory = new MemoryStage(services, request, trace);
         this.prefill = new PrefillStage(services, request, trace, openAttempt, this::proceed);
         this.run = new RunStage(services, request, trace, openAttempt, sink, new RunEnds());
+        this.progress = new RequestProgress(run, openAttempt);
     }
 
     /** Starts to process a request; the runnable is run when the processing has ended. */
@@ -109,6 +111,7 @@
         }
         Admission.AdmittedRequest accepted = result.get();
         admitted = accepted;
+        progress.onAdmitted(accepted);
         trace.onAdmitted(accepted);
         if (request.fields().requestId() == null) {
             refuse(Refusal.of(ErrorCode.INVALID_REQUEST, "The request has no request id"));
@@ -390,6 +393,16 @@
         sink.refuse(refusal);
     }
 
+    /** Returns how far the request has come and what is held for it. */
+    public RequestProgress progress() {
+        return progress;
+    }
+
+    /** Ends the request with an error because the process holds too much for callers and backend servers. */
+    public void letGo(String reason) {
+        fail(ErrorCode.OVERLOADED, reason);
+    }
+
     /** Ends the request with an error because the process ends. */
     public void shutDown() {
         fail(ErrorCode.SHUTTING_DOWN, SHUTDOWN_MESSAGE);
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/NoResponse.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/NoResponse.java
@@ -48,6 +48,11 @@
         return OptionalLong.empty();
     }
 
+    @Override
+    public long heldBytes() {
+        return 0;
+    }
+
     @Override
     public void release() {
         // Nothing is buffered.
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/OpenAttempt.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/OpenAttempt.java
@@ -80,6 +80,11 @@
         }
     }
 
+    /** Returns the bytes of the request that the backend server of the attempt in progress has not taken yet. */
+    long pendingBytes() {
+        return call == null ? 0 : call.pendingBytes();
+    }
+
     /** Counts the backend server as failing if the attempt in progress has lasted for longer than the given time. */
     void reportSlow(long maxNanos) {
         long now = services.nanoTime().getAsLong();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Refusal.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Refusal.java
@@ -28,7 +28,7 @@
     /**
      * Returns the refusal of a request that has not been run and may be retried after the given time in milliseconds.
      */
-    static Refusal retryAfter(ErrorCode code, String message, long retryAfterMs) {
+    public static Refusal retryAfter(ErrorCode code, String message, long retryAfterMs) {
         return new Refusal(code, message, true, retryAfterMs);
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ResponseRelay.java
@@ -47,6 +47,9 @@
     /** Returns the id of the last event that was sent to the caller, or an empty value if it has no numeric id. */
     OptionalLong lastEventId();
 
+    /** Returns the number of bytes that were received and have not been passed on. */
+    long heldBytes();
+
     /** Releases the buffered data. */
     void release();
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -121,6 +121,11 @@
             this.admitted = admitted;
         }
 
+        @Override
+        public void onWritten() {
+            sink.onHeldChanged();
+        }
+
         @Override
         public void onHead(HttpResponse head) {
             status = head.status().code();
@@ -205,6 +210,7 @@
             if (relay.hasStarted()) {
                 trace.onOutput();
             }
+            sink.onHeldChanged();
             if (!sink.isWritable()) {
                 openAttempt.setReading(false);
             }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
@@ -83,6 +83,11 @@
         return hasStarted ? events.lastId() : OptionalLong.empty();
     }
 
+    @Override
+    public long heldBytes() {
+        return events.partialBytes();
+    }
+
     @Override
     public void release() {
         events.release();
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/Ingress.java
@@ -3,9 +3,13 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.chivehollow.base.ErrorCode;
 import io.chivehollow.coordination.forwarding.flow.ForwardServices;
+import io.chivehollow.coordination.forwarding.pressure.ProcessLoad;
+import io.chivehollow.coordination.forwarding.pressure.ProcessPressure;
+import io.chivehollow.coordination.forwarding.route.RouteTable;
 import io.chivehollow.transport.TransportException;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -33,22 +37,27 @@
     private static final int MAX_CHUNK_BYTES = 16_384;
 
     private final ForwardServices services;
+    private final ProcessPressure pressure;
+    private final HeldLimit heldLimit;
     private final Set<IngressConnection> connections = new HashSet<>();
     private @Nullable Channel serverChannel;
     private volatile boolean isDraining;
     private volatile boolean isClosing;
 
-    private Ingress(ForwardServices services) {
+    private Ingress(ForwardServices services, ProcessPressure pressure) {
         this.services = services;
+        this.pressure = pressure;
+        this.heldLimit = new HeldLimit(services.loop(), pressure, connections);
     }
 
     /**
      * Starts to listen at the address.
      *
+     * @param pressure bounds what the connections hold, and decides which new requests are refused
      * @throws TransportException if the address cannot be bound
      */
-    public static Ingress start(InetSocketAddress address, ForwardServices services) {
-        Ingress ingress = new Ingress(services);
+    public static Ingress start(InetSocketAddress address, ForwardServices services, ProcessPressure pressure) {
+        Ingress ingress = new Ingress(services, pressure);
         EventLoop loop = services.loop();
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loop)
@@ -65,6 +74,8 @@
         try {
             ingress.serverChannel =
                     bootstrap.bind(address).syncUninterruptibly().channel();
+            loop.scheduleWithFixedDelay(
+                    ingress::onTick, ProcessLoad.TICK_MS, ProcessLoad.TICK_MS, TimeUnit.MILLISECONDS);
             return ingress;
             // Netty rethrows the checked BindException without declaring it.
         } catch (Exception e) {
@@ -98,6 +109,13 @@
                 .addLast(connection);
     }
 
+    private void onTick() {
+        heldLimit.onTick();
+        pressure.onTick(
+                connections.size() + services.connections().openChannels(),
+                services.admission().routes().map(RouteTable::shortestTargetMs).orElse(0));
+    }
+
     private CallerLimits limits() {
         return services.admission()
                 .routes()
@@ -105,8 +123,17 @@
                 .orElseGet(CallerLimits::defaults);
     }
 
+    ProcessPressure pressure() {
+        return pressure;
+    }
+
+    HeldLimit heldLimit() {
+        return heldLimit;
+    }
+
     void onClosed(IngressConnection connection) {
         connections.remove(connection);
+        heldLimit.onClosed(connection);
     }
 
     boolean isDraining() {
--- a/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ingress/IngressConnection.java
@@ -1,31 +1,28 @@
 package io.chivehollow.coordination.forwarding.ingress;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 
 import io.chivehollow.base.ErrorCode;
+import io.chivehollow.coordination.forwarding.adapter.CallerFields;
 import io.chivehollow.coordination.forwarding.flow.CallerSink;
 import io.chivehollow.coordination.forwarding.flow.ForwardFlow;
 import io.chivehollow.coordination.forwarding.flow.ForwardRequest;
 import io.chivehollow.coordination.forwarding.flow.ForwardServices;
 import io.chivehollow.coordination.forwarding.flow.Refusal;
-import io.chivehollow.protocol.HeadCheck;
-import io.chivehollow.protocol.openai.ErrorBody;
+import io.chivehollow.coordination.forwarding.pressure.HeldRequest;
+import io.chivehollow.coordination.forwarding.pressure.HeldRequest.Stage;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -34,8 +31,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
@@ -44,16 +39,11 @@
  * Reads the requests on one connection of a caller and writes the responses.
  *
  * <p>Invariant: one request at a time is processed; what a caller sends before the response is queued up to a limit.
- * Used on the event loop of the forwarding role.
+ * Beyond it reading stops, and a disconnect of the caller is detected only at the next write. Used on the event loop of
+ * the forwarding role.
  */
 final class IngressConnection extends ChannelInboundHandlerAdapter implements CallerSink {
 
-    /**
-     * Maximum number of queued parts of later requests. Beyond it reading stops, and a disconnect of the caller is
-     * detected only at the next write.
-     */
-    private static final int MAX_PENDING_PARTS = 256;
-
     private static final int SO_LINGER_OFF = -1;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -62,11 +52,14 @@
     private final Ingress ingress;
     private final ForwardServices services;
     private final CallerLimits limits;
-    private final Deque<HttpObject> pendingParts = new ArrayDeque<>();
+    private final PendingParts pendingParts = new PendingParts();
     private @Nullable ChannelHandlerContext context;
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
     private @Nullable ForwardFlow flow;
+    private @Nullable HeldForCaller held;
+    private @Nullable Refusal earlyRefusal;
+    private long servedBytes;
     private String requestId = "";
     private boolean isBusy;
     private boolean isKeepAlive;
@@ -102,6 +95,65 @@
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        held = new HeldForCaller(ingress.pressure().held(), added.channel(), services.nanoTime());
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
+    private HeldForCaller account() {
+        if (held == null) {
+            throw new IllegalStateException("The connection is not open yet");
+        }
+        return held;
+    }
+
+    /** Updates what the process holds for this connection. */
+    void refreshHeld() {
+        ForwardFlow open = flow;
+        account()
+                .refresh(
+                        (body == null ? 0 : body.capacity())
+                                + pendingParts.contentBytes()
+                                + (open == null ? 0 : servedBytes),
+                        open == null ? null : open.progress());
+    }
+
+    /** Returns the request that is let go if the process has to free what this connection holds. */
+    HeldRequest heldRequest() {
+        ForwardFlow open = flow;
+        Stage stage = open != null ? open.progress().stage() : head == null ? Stage.DELIVERING : Stage.RECEIVING;
+        return account().describe(stage, open == null ? null : open.progress());
+    }
+
+    /** Ends the request, or the connection if only its response is left; an incomplete response is cut off. */
+    void letGo(String reason) {
+        ForwardFlow open = flow;
+        if (open == null && head != null) {
+            requestId = statedId(services.dialect().readRequest(head.headers()));
+            refuseIncomplete(EarlyRefusal.refusal(reason, ingress.pressure()));
+        } else if (open != null && open.progress().stage() != Stage.RESPONDING) {
+            open.letGo(reason);
+        } else {
+            // The system would hold on to what it has taken over for the caller.
+            setResetAtClose(true);
+            if (open != null) {
+                open.letGo(reason);
+            }
+            isUnusable = true;
+            close();
+        }
+        if (isUnusable) {
+            pendingParts.release();
+        }
+        refreshHeld();
+    }
+
+    void resumeReading() {
+        if (context != null) {
+            context.channel().config().setAutoRead(true);
+        }
     }
 
     @Override
@@ -110,9 +162,10 @@
             ReferenceCountUtil.release(message);
         } else if (isBusy) {
             pendingParts.add(object);
-            if (pendingParts.size() > MAX_PENDING_PARTS) {
+            if (pendingParts.isFull()) {
                 read.channel().config().setAutoRead(false);
             }
+            refreshHeld();
         } else {
             process(read, object);
         }
@@ -121,7 +174,7 @@
     private void process(ChannelHandlerContext read, HttpObject object) {
         if (object.decoderResult().isFailure()) {
             ReferenceCountUtil.release(object);
-            refuseUnreadable(object.decoderResult().cause());
+            refuseIncomplete(RefusalResponse.refusalOf(object.decoderResult().cause()));
             return;
         }
         if (object instanceof HttpRequest request) {
@@ -132,17 +185,6 @@
         }
     }
 
-    private void refuseUnreadable(Throwable cause) {
-        if (cause instanceof HeadCheck.UnknownCodingException) {
-            refuseIncomplete(ErrorCode.TRANSFER_CODING_UNKNOWN, "The only transfer coding of a request is chunked");
-            return;
-        }
-        boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        refuseIncomplete(
-                isTooLong ? ErrorCode.HEADER_TOO_LARGE : ErrorCode.INVALID_REQUEST,
-                "The request is malformed or its header is too large");
-    }
-
     private void onHead(ChannelHandlerContext read, HttpRequest request) {
         read.pipeline().get(RequestTimer.class).onHeaderComplete(read);
         head = request;
@@ -158,11 +200,24 @@
         } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
             refuseIncomplete(
                     ErrorCode.BODY_TOO_LARGE, "The body must have at most " + limits.maxBodyBytes() + " bytes");
-        } else if (HttpUtil.is100ContinueExpected(request)) {
-            sendContinue(read);
+        } else {
+            earlyRefusal = EarlyRefusal.of(request, services, ingress.pressure());
+            if (earlyRefusal != null) {
+                requestId = statedId(services.dialect().readRequest(request.headers()));
+                if (!EarlyRefusal.maySkipBody(request)) {
+                    refuseIncomplete(earlyRefusal);
+                }
+            } else if (HttpUtil.is100ContinueExpected(request)) {
+                sendContinue(read);
+            }
         }
     }
 
+    private static String statedId(CallerFields fields) {
+        String stated = fields.requestId();
+        return stated == null ? "" : stated;
+    }
+
     /** Sends the interim response past the codec, which would take it for the response to the request. */
     private static void sendContinue(ChannelHandlerContext read) {
         read.pipeline().context(RequestCodec.class).writeAndFlush(Unpooled.wrappedBuffer(CONTINUE));
@@ -181,48 +236,72 @@
                     ErrorCode.BODY_TOO_LARGE, "The body must have at most " + limits.maxBodyBytes() + " bytes");
             return;
         }
-        collected.writeBytes(content.content());
+        Refusal refusal = earlyRefusal;
+        if (refusal == null) {
+            ingress.pressure().onLinkBytes(content.content().readableBytes());
+            collected.writeBytes(content.content());
+        }
         content.release();
         if (content instanceof LastHttpContent) {
             RequestTimer timer = read.pipeline().get(RequestTimer.class);
             timer.onRequestComplete();
             head = null;
             body = null;
+            earlyRefusal = null;
             byte[] bytes = ByteBufUtil.getBytes(collected);
             collected.release();
-            serve(request, bytes, timer.firstByteNanos());
+            if (refusal == null) {
+                serve(request, bytes, timer.firstByteNanos());
+            } else {
+                refuse(refusal);
+            }
+            onHeldChanged();
+            return;
+        }
+        onHeldChanged();
+        if (ingress.heldLimit().pausesReading(this)) {
+            read.channel().config().setAutoRead(false);
         }
     }
 
     private void serve(HttpRequest request, byte[] bytes, long firstByteNanos) {
         isBusy = true;
-        String uri = request.uri();
-        int query = uri.indexOf('?');
-        HttpHeaders headers = request.headers();
-        String host = headers.get(HttpHeaderNames.HOST, "");
         ForwardRequest forwarded = new ForwardRequest(
                 request.method(),
-                uri,
-                query < 0 ? uri : uri.substring(0, query),
-                host,
-                ConnectionFields.without(headers),
+                request.uri(),
+                RequestPath.of(request.uri()),
+                request.headers().get(HttpHeaderNames.HOST, ""),
+                ConnectionFields.without(request.headers()),
                 bytes,
-                services.dialect().readRequest(headers),
+                services.dialect().readRequest(request.headers()),
                 canSendChunks,
                 firstByteNanos);
-        String stated = forwarded.fields().requestId();
-        requestId = stated == null ? "" : stated;
+        requestId = statedId(forwarded.fields());
+        servedBytes = bytes.length;
         if (ingress.isClosing()) {
             // The process may end before the response, and other instances serve the request.
             ForwardFlow.refuseAtShutdown(services, forwarded, this);
             return;
         }
-        ForwardFlow started = ForwardFlow.start(services, forwarded, this, () -> flow = null);
+        ForwardFlow started = ForwardFlow.start(services, forwarded, this, this::onFlowEnded);
         if (isBusy) {
             flow = started;
         }
     }
 
+    private void onFlowEnded() {
+        if (flow != null) {
+            account().onRequestEnd(flow.progress());
+            flow = null;
+        }
+    }
+
+    @Override
+    public void onHeldChanged() {
+        refreshHeld();
+        ingress.heldLimit().onHeldChanged(this);
+    }
+
     @Override
     public void head(int status, HttpHeaders headers) {
         HttpResponse response = new DefaultHttpResponse(
@@ -241,6 +320,9 @@
 
     @Override
     public void data(ByteBuf data) {
+        int bytes = data.readableBytes();
+        ingress.pressure().onLinkBytes(bytes);
+        account().onWritten(bytes);
         write(new DefaultHttpContent(data), true);
     }
 
@@ -251,6 +333,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
+        refreshHeld();
         if (flow != null && changed.channel().isWritable()) {
             flow.onCallerWritable();
         }
@@ -271,18 +354,7 @@
 
     @Override
     public void refuse(Refusal refusal) {
-        byte[] text = new ErrorBody(refusal.code(), refusal.message(), refusal.isNotRun(), requestId).toBytes();
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(refusal.code().httpStatus()),
-                Unpooled.wrappedBuffer(text));
-        response.headers()
-                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-                .setInt(HttpHeaderNames.CONTENT_LENGTH, text.length);
-        if (refusal.retryAfterMs() != Refusal.NO_RETRY_TIME) {
-            response.headers()
-                    .set(HttpHeaderNames.RETRY_AFTER, services.dialect().retryAfter(refusal.retryAfterMs()));
-        }
+        FullHttpResponse response = RefusalResponse.of(refusal, requestId, services.dialect());
         setConnection(response);
         finish(response);
     }
@@ -300,6 +372,10 @@
 
     /** Refuses a request that was not received completely; the connection cannot be reused after that. */
     private void refuseIncomplete(ErrorCode code, String message) {
+        refuseIncomplete(Refusal.of(code, message));
+    }
+
+    private void refuseIncomplete(Refusal refusal) {
         isKeepAlive = false;
         isUnusable = true;
         if (body != null) {
@@ -307,11 +383,11 @@
             body = null;
         }
         head = null;
-        refuse(Refusal.of(code, message));
+        refuse(refusal);
     }
 
     private void setConnection(HttpResponse response) {
-        isKeepAlive &= !ingress.isDraining();
+        isKeepAlive &= !ingress.isDraining() && !ingress.pressure().areDescriptorsShort();
         HttpUtil.setKeepAlive(response, isKeepAlive);
     }
 
@@ -384,8 +460,7 @@
         ingress.onClosed(this);
         isUnusable = true;
         isBusy = false;
-        pendingParts.forEach(ReferenceCountUtil::release);
-        pendingParts.clear();
+        pendingParts.release();
         if (body != null) {
             body.release();
             body = null;
@@ -395,6 +470,7 @@
         if (open != null) {
             open.cancel();
         }
+        account().close();
     }
 
     @Override
--- a/src/main/java/io/chivehollow/coordination/forwarding/pressure/HeldBytes.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/pressure/HeldBytes.java
@@ -37,9 +37,12 @@
     /** Above this share of the bound, slow callers may leave little of their responses. */
     private static final double AMPLE_SHARE = 0.25;
 
-    /** The rest of the bound is for what arrives before the callers and servers notice that they are not read. */
+    /** Above this share, callers are not read; the next one is for what arrives before the callers and servers notice that they are not read. */
     private static final double SOFT_SHARE = 0.75;
 
+    /** The rest is for the bytes of the one event that is being processed when the share is exceeded. */
+    private static final double HARD_SHARE = 0.9;
+
     private final long limitBytes;
     private final long[] heldBytes = new long[KINDS];
     private long totalBytes;
@@ -62,7 +65,7 @@
 
     /** Returns how much of the bound is in use. */
     public Level level() {
-        if (totalBytes > limitBytes) {
+        if (totalBytes > limitBytes * HARD_SHARE) {
             return Level.EXCEEDED;
         }
         if (totalBytes > limitBytes * SOFT_SHARE) {
@@ -73,7 +76,7 @@
 
     /** Returns whether a request that announces the given number of bytes fits into the bound. */
     public boolean hasRoomFor(long bytes) {
-        return totalBytes + bytes <= limitBytes;
+        return totalBytes + bytes <= limitBytes * HARD_SHARE;
     }
 
     /** Returns the bound in bytes. */
@@ -96,11 +99,6 @@
         return heldBytes[kind.ordinal()];
     }
 
-    /** Returns the total as a share of the bound from which on callers may send no further parts of bodies. */
-    double softUse() {
-        return totalBytes / (limitBytes * SOFT_SHARE);
-    }
-
     /**
      * The bytes that one request holds.
      *
--- a/src/main/java/io/chivehollow/coordination/forwarding/pressure/ProcessLoad.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/pressure/ProcessLoad.java
@@ -5,7 +5,7 @@
 import io.chivehollow.settings.ProcessLimits;
 
 /**
- * Measures how much of its processor, memory, link and descriptors a process uses, relative to bounds from which on new
+ * Measures how much of its processor, link and descriptors a process uses, relative to bounds from which on new
  * requests harm those that are open.
  *
  * <p>Invariant: a resource whose limit is not known is never overloaded. Time is passed in. Not thread-safe.
@@ -49,7 +49,6 @@
     private static final double NANOS_PER_S = 1e9;
 
     private final ProcessLimits limits;
-    private final HeldBytes held;
     private final double linkBytesPerSecond;
     private final int maxConnections;
     private long lastTickNanos;
@@ -63,9 +62,8 @@
     private int connections;
     private double maxDelayMs;
 
-    private ProcessLoad(ProcessLimits limits, HeldBytes held, long nowNanos) {
+    private ProcessLoad(ProcessLimits limits, long nowNanos) {
         this.limits = limits;
-        this.held = held;
         this.linkBytesPerSecond = limits.linkMbps() * BITS_PER_MB_OF_LINK;
         this.maxConnections = limits.maxDescriptors() == 0
                 ? Integer.MAX_VALUE
@@ -76,8 +74,8 @@
     }
 
     /** Returns a load without measurements, at the given monotonic time in nanoseconds. */
-    public static ProcessLoad create(ProcessLimits limits, HeldBytes held, long nowNanos) {
-        return new ProcessLoad(limits, held, nowNanos);
+    public static ProcessLoad create(ProcessLimits limits, long nowNanos) {
+        return new ProcessLoad(limits, nowNanos);
     }
 
     /** Counts bytes that cross the link in one direction. */
@@ -129,7 +127,6 @@
     public double use(Resource resource) {
         return switch (resource) {
             case PROCESSOR -> limits.processorShare() > 0 ? delayMs() / maxDelayMs : 0;
-            case MEMORY -> held.softUse();
             case LINK -> linkBytesPerSecond > 0 ? linkRate / (linkBytesPerSecond * LINK_SHARE) : 0;
             case DESCRIPTORS -> connections / (maxConnections * DESCRIPTORS_SHARE);
         };
@@ -137,7 +134,7 @@
 
     /** Returns the greatest use of the resources whose use is a level and not a delay. */
     public double levelUse() {
-        return Math.max(use(Resource.MEMORY), Math.max(use(Resource.LINK), use(Resource.DESCRIPTORS)));
+        return Math.max(use(Resource.LINK), use(Resource.DESCRIPTORS));
     }
 
     /** Returns the resource of which most is used. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/pressure/ProcessPressure.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/pressure/ProcessPressure.java
@@ -36,7 +36,7 @@
         this.nanoTime = nanoTime;
         this.held = HeldBytes.create(heldLimitBytes);
         this.lastStepNanos = nanoTime.getAsLong();
-        this.load = ProcessLoad.create(limits, held, lastStepNanos);
+        this.load = ProcessLoad.create(limits, lastStepNanos);
         this.registry = registry;
     }
 
@@ -123,13 +123,8 @@
         if (refusals.isActive() && !wasActive) {
             scarceResource = load.scarcest();
             LOG.warnf(
-                    "Refuses a share of the new requests: %s is used at %.2f of its bound; loop delay %.0f ms, "
-                            + "held %d of %d bytes",
-                    scarceResource.wireName(),
-                    load.use(scarceResource),
-                    load.delayMs(),
-                    held.totalBytes(),
-                    held.limitBytes());
+                    "Refuses a share of the new requests: %s is used at %.2f of its bound; loop delay %.0f ms",
+                    scarceResource.wireName(), load.use(scarceResource), load.delayMs());
         } else if (wasActive && !refusals.isActive()) {
             LOG.infof("Accepts all new requests again; %d were refused", refusedRequests);
             refusedRequests = 0;
--- a/src/main/java/io/chivehollow/coordination/forwarding/route/RouteTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/route/RouteTable.java
@@ -26,6 +26,7 @@
     private final boolean requiresApiKeys;
     private final ForwardLimits limits;
     private final long revision;
+    private final int shortestTargetMs;
 
     private RouteTable(Deployment deployment) {
         for (ForwardRoute route : deployment.getRoutesList()) {
@@ -42,6 +43,11 @@
         this.requiresApiKeys = deployment.getRequiresApiKeys() || deployment.getTeamsCount() > 0;
         this.limits = deployment.getLimits();
         this.revision = deployment.getRevision();
+        this.shortestTargetMs = deployment.getRoutesList().stream()
+                .mapToInt(ForwardRoute::getTargetMs)
+                .filter(targetMs -> targetMs > 0)
+                .min()
+                .orElse(0);
     }
 
     /** Returns the table of a deployment. */
@@ -92,6 +98,11 @@
         return limits;
     }
 
+    /** Returns the shortest target time of the routes in milliseconds, 0 if none is stated. */
+    public int shortestTargetMs() {
+        return shortestTargetMs;
+    }
+
     /** Returns the revision that the operator gave to the deployment. */
     public long revision() {
         return revision;
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -196,7 +196,8 @@
                 resources.eventLoops(),
                 resources.scheduler(),
                 new SplittableRandom(),
-                registry);
+                registry,
+                settings.limits());
         ForwardingRole started = register(ForwardingRole.start(forwarding, context));
         readinessChecks.add(started::isReady);
     }
