--- a/src/main/java/io/chivehollow/coordination/forwarding/pressure/HeldBytes.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/pressure/HeldBytes.java
@@ -37,7 +37,7 @@
     /** Above this share of the bound, slow callers may leave little of their responses. */
     private static final double AMPLE_SHARE = 0.25;
 
-    /** Above this share, callers are not read; the next one is for what arrives before the callers and servers notice that they are not read. */
+    /** Above this share, no further parts of bodies are read; the rest is for what has been received already. */
     private static final double SOFT_SHARE = 0.75;
 
     /** The rest is for the bytes of the one event that is being processed when the share is exceeded. */
