--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -1,6 +1,7 @@
 package io.chivehollow.coordination.forwarding.flow;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -140,7 +141,7 @@
 
     private static AdmittedRequest admitted(
             RouteTable routes, ForwardRoute route, String service, @Nullable TeamAccess access) {
-        int priority = access == null ? route.getPriority() : RouteTable.priority(route, access);
+        int priority = priority(route, access);
         Urgency urgency = routes.hasPriorities(service)
                 ? new Urgency(
                         routes.priorityRank(service, priority),
@@ -151,6 +152,26 @@
                 routes.revision(), route, service, serviceTimes(routes, service), access, priority, urgency);
     }
 
+    /**
+     * Returns the priority that the request with the given host, path and API key would have, or an empty value if no
+     * route matches.
+     */
+    public OptionalInt priority(String host, String path, @Nullable String apiKey) {
+        Optional<RouteTable> routes = routes();
+        Optional<ForwardRoute> route = routes.flatMap(table -> table.route(host, path));
+        if (route.isEmpty()) {
+            return OptionalInt.empty();
+        }
+        TeamAccess team = apiKey == null || route.get().getOpen()
+                ? null
+                : routes.get().team(apiKey).orElse(null);
+        return OptionalInt.of(priority(route.get(), team));
+    }
+
+    private static int priority(ForwardRoute route, @Nullable TeamAccess team) {
+        return team == null ? route.getPriority() : RouteTable.priority(route, team);
+    }
+
     private static ServiceTimes serviceTimes(RouteTable routes, String service) {
         EngineLimits engine =
                 routes.service(service).map(ForwardService::getEngine).orElse(EngineLimits.getDefaultInstance());
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -127,6 +127,11 @@
             this.timer = timer;
         }
 
+        @Override
+        public void onWritten() {
+            sink.onHeldChanged();
+        }
+
         @Override
         public void onHead(HttpResponse head) {
             status = head.status().code();
@@ -214,6 +219,7 @@
             if (relay.hasStarted()) {
                 trace.onOutput();
             }
+            sink.onHeldChanged();
             if (!sink.isWritable()) {
                 openAttempt.setReading(false);
                 timer.onPaused();
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/StreamRelay.java
@@ -88,6 +88,11 @@
         return events.eventsOfRun();
     }
 
+    @Override
+    public long heldBytes() {
+        return events.partialBytes();
+    }
+
     @Override
     public void release() {
         events.release();
