Let settings bound what leaves a failure domain, and account for it

"forwarding.locality" states the speed of the instance's link and bounds of the bytes that cross failure domains; without it nothing changes. Faults are reported like those of other fields (SettingsLoaderTest). Requests, responses and KV caches that cross are counted, with the share of each service's requests that leaves and the reason, which also stands in the log line of the request.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingContext.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingContext.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
+import io.chivehollow.base.FailureDomain;
 import io.chivehollow.base.InstanceId;
 import io.chivehollow.base.Scheduler;
 import io.chivehollow.coordination.config.ConfigView;
@@ -19,6 +20,7 @@
  * <p>The components are thread-safe, except for the random generator, which the role uses on one event loop only.
  *
  * @param instance this instance
+ * @param failureDomain failure domain of this instance
  * @param isLeader whether this instance currently holds the lease of the replicas' leader
  * @param processCount number of processes that forward requests
  * @param config copy of the released state
@@ -32,6 +34,7 @@
  */
 public record ForwardingContext(
         InstanceId instance,
+        FailureDomain failureDomain,
         BooleanSupplier isLeader,
         IntSupplier processCount,
         ConfigView config,
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -1,5 +1,7 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -10,6 +12,7 @@
 import io.chivehollow.coordination.config.ConfigView;
 import io.chivehollow.coordination.config.Configuration;
 import io.chivehollow.coordination.forwarding.backend.PromptDemand;
+import io.chivehollow.coordination.forwarding.locality.ServiceFigures;
 import io.chivehollow.coordination.forwarding.route.RouteTable;
 import io.chivehollow.protocol.wire.EngineLimits;
 import io.chivehollow.protocol.wire.ForwardRoute;
@@ -52,6 +55,7 @@
     private final RandomGenerator random;
     private long tableVersion = -1;
     private @Nullable RouteTable table;
+    private final Map<String, ServiceFigures> figures = new HashMap<>();
 
     private Admission(ConfigView config, RandomGenerator random) {
         this.config = config;
@@ -72,6 +76,7 @@
         if (current.get().version() != tableVersion) {
             table = RouteTable.of(current.get().state().getDeployment());
             tableVersion = current.get().version();
+            figures.clear();
         }
         return Optional.ofNullable(table);
     }
@@ -90,6 +95,19 @@
                 .orElse(0L);
     }
 
+    /** Returns what the deployment in effect states about the service. */
+    public ServiceFigures serviceFigures(String service) {
+        return routes().map(routes -> figures.computeIfAbsent(service, id -> serviceFigures(routes, id)))
+                .orElse(ServiceFigures.UNKNOWN);
+    }
+
+    private static ServiceFigures serviceFigures(RouteTable routes, String service) {
+        EngineLimits engine =
+                routes.service(service).map(ForwardService::getEngine).orElse(EngineLimits.getDefaultInstance());
+        return new ServiceFigures(
+                routes.shortestTargetMs(service), engine.getKvBytesPerToken(), engine.getLinkMegabitsPerSecond());
+    }
+
     /** Returns whether operators have taken the failure domain out of service. */
     boolean isOutOfService(FailureDomain domain) {
         return config.current().map(current -> current.isOutOfService(domain)).orElse(false);
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Attempt.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Attempt.java
@@ -17,6 +17,9 @@
     /** Whether the first output has arrived, so that the prompt no longer counts as waiting for prefill. */
     boolean isPrefillDone;
 
+    /** Bytes of the response that have been received. */
+    long responseBytes;
+
     Attempt(Backend backend, long promptTokens, long memoryTokens, boolean isPrefill) {
         this.backend = backend;
         this.promptTokens = promptTokens;
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardServices.java
@@ -6,6 +6,7 @@
 import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.chivehollow.coordination.forwarding.backend.BackendConnections;
 import io.chivehollow.coordination.forwarding.backend.BackendSelector;
+import io.chivehollow.coordination.forwarding.locality.Locality;
 import io.chivehollow.coordination.forwarding.reserve.MemoryQueue;
 import io.chivehollow.coordination.gateway.TokenBudget;
 import io.netty.channel.EventLoop;
@@ -27,6 +28,7 @@
  * @param retrySchedule retry times of callers whose team exceeds its rate
  * @param crashes crashes of backend servers, and the prompts that are refused because of them
  * @param metrics records outcomes
+ * @param locality accounts for requests that leave the failure domain
  */
 public record ForwardServices(
         EventLoop loop,
@@ -40,9 +42,10 @@
         RetryBudget retryBudget,
         RetrySchedule retrySchedule,
         CrashLedger crashes,
-        ForwardMetrics metrics) {
+        ForwardMetrics metrics,
+        Locality locality) {
 
-    /** Returns services with a full retry budget. */
+    /** Returns services with a full retry budget that regard no failure domains. */
     public static ForwardServices of(
             EventLoop loop,
             LongSupplier nanoTime,
@@ -65,6 +68,25 @@
                 new RetryBudget(limits.retries(), nanoTime, limits.processCount()),
                 new RetrySchedule(nanoTime, limits.processCount()),
                 limits.crashes(),
-                metrics);
+                metrics,
+                Locality.off());
+    }
+
+    /** Returns these services with an account of the requests that leave the failure domain. */
+    public ForwardServices withLocality(Locality accounting) {
+        return new ForwardServices(
+                loop,
+                nanoTime,
+                dialect,
+                admission,
+                budget,
+                selector,
+                connections,
+                memoryQueue,
+                retryBudget,
+                retrySchedule,
+                crashes,
+                metrics,
+                accounting);
     }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/OpenAttempt.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/OpenAttempt.java
@@ -37,6 +37,26 @@
         triedServers.add(started.backend.id());
         started.backend.onStart(started.promptTokens, started.memoryTokens, startNanos);
         trace.onSend(started.backend.id(), started.isPrefill);
+        String reason = services.locality()
+                .onSent(
+                        started.backend.entry().service(),
+                        started.backend.entry().domain(),
+                        started.isPrefill,
+                        trace.requestBytes(),
+                        startNanos);
+        if (reason != null) {
+            trace.addStep("leaves for " + started.backend.entry().domain() + ", " + reason);
+        }
+    }
+
+    /** Counts a part of the response. */
+    void onData(Attempt answered, int bytes) {
+        answered.responseBytes += bytes;
+        services.locality()
+                .onResponseBytes(
+                        answered.backend.entry().domain(),
+                        bytes,
+                        services.nanoTime().getAsLong());
     }
 
     /** Records the call of the attempt, which may already have failed and been followed by another attempt. */
@@ -57,6 +77,10 @@
             attempt = null;
             call = null;
         }
+        if (!ended.isPrefill) {
+            services.locality()
+                    .onRequestEnd(ended.backend.entry().service(), trace.requestBytes() + ended.responseBytes);
+        }
         ended.backend.onEnd(ended.isPrefillDone ? 0 : ended.promptTokens, ended.memoryTokens);
         if (ended.isPrefill) {
             ended.backend.promptQueue().onEnd(ended, false, services.nanoTime().getAsLong());
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/PrefillStage.java
@@ -39,6 +39,7 @@
     private final OpenAttempt openAttempt;
     private final Runnable onEnded;
     private @Nullable PrefilledPrompt result;
+    private @Nullable FailureDomain decodeDomain;
     private int attempts;
     private boolean isTooLate;
 
@@ -79,6 +80,7 @@
 
     Optional<Backend> selectServer(
             Admission.AdmittedRequest admitted, Backend decodeServer, Predicate<FailureDomain> isOutOfService) {
+        decodeDomain = decodeServer.entry().domain();
         return services.selector()
                 .selectPrefillServer(
                         admitted.promptDemand(request),
@@ -206,11 +208,25 @@
                                 .transferSource(started.backend.entry().addressText(), read.handle()),
                         services.nanoTime().getAsLong()
                                 + TimeUnit.MILLISECONDS.toNanos(admitted.times().prefillExpiryMs()));
+                countTransfer();
             } catch (IllegalArgumentException e) {
                 trace.addTimedStep("the prefill's answer cannot be read: " + e.getMessage());
             }
         }
 
+        /** The decode server fetches the KV cache when the run starts, at once. */
+        private void countTransfer() {
+            if (decodeDomain != null) {
+                services.locality()
+                        .onTransfer(
+                                admitted.service(),
+                                started.backend.entry().domain(),
+                                decodeDomain,
+                                started.promptTokens,
+                                services.nanoTime().getAsLong());
+            }
+        }
+
         @Override
         public void onFailure(Failure failure, String reason) {
             openAttempt.end(started);
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RequestTrace.java
@@ -32,6 +32,11 @@
         this.nanoTime = nanoTime;
     }
 
+    /** Returns the size of the request's body in bytes. */
+    int requestBytes() {
+        return request.body().length;
+    }
+
     void onAdmitted(Admission.AdmittedRequest admitted) {
         addStep("route " + admitted.route().getId() + " revision " + admitted.revision() + " service "
                 + admitted.service() + " team " + admitted.teamName() + " tokens "
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -196,6 +196,7 @@
 
         @Override
         public boolean onData(ByteBuf data) {
+            openAttempt.onData(started, data.readableBytes());
             if (isDiscarded) {
                 discardedBytes += data.readableBytes();
                 data.release();
--- a/src/main/java/io/chivehollow/coordination/forwarding/locality/LocalityLimits.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/locality/LocalityLimits.java
@@ -16,6 +16,7 @@
     /** No bounds, and a link of unknown speed. */
     public static final LocalityLimits UNLIMITED = new LocalityLimits(0, 0, 0);
 
+    /** Validates the bounds. */
     public LocalityLimits {
         checkArgument(bytesPerSecond >= 0, "bytesPerSecond must not be negative, but was %s", bytesPerSecond);
         checkArgument(kvBytesPerSecond >= 0, "kvBytesPerSecond must not be negative, but was %s", kvBytesPerSecond);
--- a/src/main/java/io/chivehollow/coordination/forwarding/route/RouteTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/route/RouteTable.java
@@ -80,6 +80,17 @@
         return Optional.ofNullable(services.get(id));
     }
 
+    /** Returns the shortest target time in milliseconds of a route that may select the service, 0 if there is none. */
+    public long shortestTargetMs(String service) {
+        return byHost.values().stream()
+                .flatMap(routes -> routes.values().stream())
+                .filter(route -> route.getTargetsList().stream()
+                        .anyMatch(target -> target.getService().equals(service)))
+                .mapToLong(ForwardRoute::getTargetMs)
+                .min()
+                .orElse(0);
+    }
+
     /**
      * Returns whether routes that are not open require an API key. If no team has a key, they match no caller.
      */
--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -187,6 +187,7 @@
         register(CrashReporter.start(crashes, control, resources.scheduler()));
         ForwardingContext context = new ForwardingContext(
                 settings.instance(),
+                settings.failureDomain(),
                 isLeaseHolder,
                 budget::processCount,
                 config,
--- a/src/main/java/io/chivehollow/settings/ForwardingSettings.java
+++ b/src/main/java/io/chivehollow/settings/ForwardingSettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Settings of the forwarding role.
  *
@@ -22,6 +24,8 @@
  * @param retrySlack retries that it tolerates in addition, in each window at all processes together
  * @param retryWindowSeconds time window in seconds in which it counts retries
  * @param shutdownMs longest time that a shutdown waits for open requests
+ * @param locality settings for the choice between failure domains, or null if backend servers are selected without
+ *     regard to their domain
  */
 public record ForwardingSettings(
         String adapter,
@@ -38,4 +42,5 @@
         double retryShare,
         double retrySlack,
         double retryWindowSeconds,
-        int shutdownMs) {}
+        int shutdownMs,
+        @Nullable LocalitySettings locality) {}
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -58,6 +58,12 @@
     private static final double DEFAULT_RETRY_WINDOW_S = 10;
     private static final int DEFAULT_FORWARDING_SHUTDOWN_MS = 7_000;
 
+    private static final double MAX_LINK_MEGABITS = 1e7;
+    private static final double BYTES_PER_MEGABIT = 125_000;
+
+    /** Share of the instance's link for servers of other failure domains; the rest is for callers and own servers. */
+    private static final double DEFAULT_CROSS_DOMAIN_LINK_SHARE = 0.5;
+
     private static final JsonMapper MAPPER = JsonMapper.builder()
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
@@ -188,7 +194,22 @@
                 reader.number("retry_share", DEFAULT_RETRY_SHARE, 0, 10),
                 reader.number("retry_slack", DEFAULT_RETRY_SLACK, 0, 1e9),
                 reader.number("retry_window_s", DEFAULT_RETRY_WINDOW_S, 0.1, 3_600),
-                reader.wholeNumber("shutdown_ms", DEFAULT_FORWARDING_SHUTDOWN_MS, 0, 3_600_000));
+                reader.wholeNumber("shutdown_ms", DEFAULT_FORWARDING_SHUTDOWN_MS, 0, 3_600_000),
+                readLocality(reader.optionalObject("locality")));
+        reader.checkNoOtherFields();
+        return settings;
+    }
+
+    private static @Nullable LocalitySettings readLocality(@Nullable ObjectReader reader) {
+        if (reader == null) {
+            return null;
+        }
+        double linkMegabits = reader.number("link_megabits_per_second", 0, 0, MAX_LINK_MEGABITS);
+        long defaultBytes = (long) (linkMegabits * BYTES_PER_MEGABIT * DEFAULT_CROSS_DOMAIN_LINK_SHARE);
+        LocalitySettings settings = new LocalitySettings(
+                linkMegabits,
+                reader.wholeNumber("cross_domain_bytes_per_second", defaultBytes, 0L, 1L << 50),
+                reader.wholeNumber("cross_domain_kv_bytes_per_second", 0L, 0L, 1L << 50));
         reader.checkNoOtherFields();
         return settings;
     }
--- a/src/test/java/io/chivehollow/coordination/forwarding/locality/DomainChooserTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/locality/DomainChooserTest.java
@@ -72,7 +72,7 @@
         }
     }
 
-    /** Property: a request that misses its target at home and meets it elsewhere leaves, if something is known there. */
+    /** Property: a request that misses its target at home and meets it elsewhere leaves. */
     @Test
     public void lateRequestLeavesForADomainThatIsInTime() {
         for (int seed = 0; seed < 500; seed++) {
--- a/src/test/java/io/chivehollow/coordination/forwarding/locality/LeavingLoadTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/locality/LeavingLoadTest.java
@@ -174,7 +174,7 @@
             return Integer.parseInt(chosen.value().substring("domain-".length()));
         }
 
-        /** Returns the domain with the shortest reported wait, which is not the same for all requests of an interval. */
+        /** Returns the domain with about the shortest reported wait, not the same one for all requests. */
         private int shortest() {
             int best = random.nextInt(DOMAINS);
             for (int domain = 0; domain < DOMAINS; domain++) {
--- a/src/test/java/io/chivehollow/settings/SettingsLoaderTest.java
+++ b/src/test/java/io/chivehollow/settings/SettingsLoaderTest.java
@@ -11,6 +11,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -89,6 +90,41 @@
                 List.of("log_format", "metrics_address"));
     }
 
+    private static String withForwarding(String locality) {
+        return """
+                {
+                  "instance": "i1", "failure_domain": "d1", "secret_file": "secret",
+                  "replicas": ["127.0.0.1:7001"],
+                  "forwarding": {"adapter": "a", "address": "127.0.0.1:1", "readiness_address": "127.0.0.1:2",
+                    "operator_address": "127.0.0.1:3", "peer_address": "127.0.0.1:4",
+                    "backend_list_address": "127.0.0.1:5"%s}
+                }
+                """
+                .formatted(locality);
+    }
+
+    /** Guards against a bound that a deployment has not asked for, and against one that is ignored. */
+    @Test
+    public void localityIsOptionalAndChecked() throws IOException {
+        assertNull(load(withForwarding("")).forwarding().locality());
+        assertEquals(load(withForwarding(", \"locality\": {}")).forwarding().locality(), new LocalitySettings(0, 0, 0));
+        assertEquals(
+                load(withForwarding(", \"locality\": {\"link_megabits_per_second\": 8}"))
+                        .forwarding()
+                        .locality(),
+                new LocalitySettings(8, 500_000, 0));
+        String broken = ", \"locality\": {\"link_megabits_per_second\": -1, "
+                + "\"cross_domain_bytes_per_second\": \"few\", \"cross_domain_kv_bytes_per_second\": -1, \"zone\": 1}";
+        SettingsException failure = expectThrows(SettingsException.class, () -> load(withForwarding(broken)));
+        assertEquals(
+                failure.faults().stream().map(SettingsFault::path).toList(),
+                List.of(
+                        "forwarding.locality.link_megabits_per_second",
+                        "forwarding.locality.cross_domain_bytes_per_second",
+                        "forwarding.locality.cross_domain_kv_bytes_per_second",
+                        "forwarding.locality.zone"));
+    }
+
     @Test
     public void malformedJsonIsReportedWithItsLine() throws IOException {
         SettingsException failure = expectThrows(SettingsException.class, () -> load("{\n\"instance\": \"i1\",\n!\n}"));
