Choose the failure domain of requests in the selection of servers

Decode and plain servers were selected from all failure domains alike. For services whose servers state the load of their machine, and with the settings' "locality", DomainFilter now narrows the candidates to the domain that Locality chooses. The prefill leaves its decode server's domain at the computed cost of the transfer in place of a fixed share of the target. Responses, failures and connection times of all calls tell the state of the paths.

--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -17,10 +17,14 @@
 import io.chivehollow.coordination.forwarding.flow.RetryLimits;
 import io.chivehollow.coordination.forwarding.flow.SharedLimits;
 import io.chivehollow.coordination.forwarding.ingress.Ingress;
+import io.chivehollow.coordination.forwarding.locality.Locality;
+import io.chivehollow.coordination.forwarding.locality.LocalityLimits;
 import io.chivehollow.coordination.forwarding.stage.RoleChangeSender;
 import io.chivehollow.settings.ForwardingSettings;
+import io.chivehollow.settings.LocalitySettings;
 import io.netty.channel.EventLoop;
 import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The forwarding role of a process, which sends callers' requests directly to backend servers that have no sidecar.
@@ -62,7 +66,9 @@
         this.loop = context.eventLoops().next();
         ForwardingAdapter adapter = adapter(settings.adapter());
         ForwardMetrics metrics = ForwardMetrics.create(context.registry());
-        BackendTable table = BackendTable.create(System::nanoTime, metrics, metrics);
+        Admission admission = Admission.create(config, context.random());
+        Locality locality = locality(settings.locality(), context, admission);
+        BackendTable table = BackendTable.create(System::nanoTime, metrics, metrics, locality.links());
         BackendConnections connections = BackendConnections.create(loop, System::nanoTime, adapter.dialect());
         this.listPoller = new BackendListPoller(
                 adapter.backendList(settings.backendListAddress(), new NettyHttpFetcher(context.eventLoops())),
@@ -72,21 +78,26 @@
                 context.scheduler(),
                 settings.backendListPeriodMs());
         listPoller.start();
-        Admission admission = Admission.create(config, context.random());
         ForwardServices services = ForwardServices.of(
-                loop,
-                System::nanoTime,
-                adapter.dialect(),
-                admission,
-                context.budget(),
-                BackendSelector.create(
-                        table, context.random(), context.processCount(), admission::coldRequestsPerSecond),
-                connections,
-                new SharedLimits(
-                        new RetryLimits(settings.retryShare(), settings.retrySlack(), settings.retryWindowSeconds()),
-                        context.processCount(),
-                        context.crashes()),
-                metrics);
+                        loop,
+                        System::nanoTime,
+                        adapter.dialect(),
+                        admission,
+                        context.budget(),
+                        BackendSelector.create(
+                                table,
+                                context.random(),
+                                context.processCount(),
+                                admission::coldRequestsPerSecond,
+                                locality),
+                        connections,
+                        new SharedLimits(
+                                new RetryLimits(
+                                        settings.retryShare(), settings.retrySlack(), settings.retryWindowSeconds()),
+                                context.processCount(),
+                                context.crashes()),
+                        metrics)
+                .withLocality(locality);
         RoleChangeSender.start(
                 context.instance(),
                 loop,
@@ -121,6 +132,20 @@
         return role;
     }
 
+    private static Locality locality(
+            @Nullable LocalitySettings settings, ForwardingContext context, Admission admission) {
+        return settings == null
+                ? Locality.off()
+                : Locality.create(
+                        context.failureDomain(),
+                        new LocalityLimits(
+                                settings.crossDomainBytesPerSecond(),
+                                settings.crossDomainKvBytesPerSecond(),
+                                settings.linkMegabitsPerSecond()),
+                        admission::serviceFigures,
+                        context.registry());
+    }
+
     private static ForwardingAdapter adapter(String name) {
         return ServiceLoader.load(ForwardingAdapter.class).stream()
                 .map(ServiceLoader.Provider::get)
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/Backend.java
@@ -11,6 +11,7 @@
 import io.chivehollow.coordination.forwarding.adapter.Dialect;
 import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
+import io.chivehollow.coordination.forwarding.locality.LinkObserver;
 import io.chivehollow.coordination.forwarding.speed.ServerSpeed;
 import io.chivehollow.coordination.forwarding.speed.SlownessWatch;
 import io.chivehollow.coordination.forwarding.speed.SpeedListener;
@@ -65,6 +66,7 @@
     private final SlownessWatch slownessWatch = SlownessWatch.create();
     private final ServerNotices notices;
     private final ServerNotice notice;
+    private final LinkObserver links;
     private final PromptQueue promptQueue;
     private BackendEntry entry;
     private long coldEndNanos = Long.MIN_VALUE / 2;
@@ -84,8 +86,15 @@
     private boolean isListed = true;
     private boolean isReplaced;
 
-    Backend(BackendEntry entry, EngineEstimates estimates, WorkTimes workTimes, ServerNotices notices, long nowNanos) {
+    Backend(
+            BackendEntry entry,
+            EngineEstimates estimates,
+            WorkTimes workTimes,
+            ServerNotices notices,
+            LinkObserver links,
+            long nowNanos) {
         this.entry = entry;
+        this.links = links;
         this.estimates = estimates;
         this.workTimes = workTimes;
         this.notices = notices;
@@ -156,6 +165,7 @@
     /** Reads the head of a response from the address of this run, and records what the server states about itself. */
     public ResponseFields readHead(Dialect dialect, HttpResponse head, long nowNanos) {
         ResponseFields fields = dialect.readResponse(head.status().code(), head.headers());
+        links.onHeard(entry.domain(), nowNanos);
         BackendLoad reported = fields.load();
         if (reported != null) {
             onLoad(reported, nowNanos);
@@ -203,6 +213,11 @@
         return entry.isDraining() ? "listed as draining" : "listed as ready";
     }
 
+    /** Records that a connection was opened within the given time in milliseconds. */
+    void onConnected(double connectMs, long nowNanos) {
+        links.onConnected(entry.domain(), connectMs, nowNanos);
+    }
+
     boolean isCold(long nowNanos) {
         return nowNanos < coldEndNanos;
     }
@@ -245,6 +260,7 @@
 
     /** Records a failure; the backend server is avoided for a time that doubles with each consecutive failure. */
     public void onFailure(long nowNanos) {
+        links.onFailure(entry.domain(), id(), nowNanos);
         failuresInRow = Math.min(failuresInRow + 1, MAX_FAILURES_IN_ROW);
         suspectEndNanos = nowNanos + (FIRST_SUSPICION_NANOS << (failuresInRow - 1));
     }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -58,6 +58,8 @@
     /** Time in milliseconds in which the system closes the port of a crashed server after its first connection. */
     private static final int CRASH_MS = 20;
 
+    private static final double NANOS_PER_MS = 1e6;
+
     private static final String REFUSED_REASON = "the server wants no requests";
 
     private final EventLoop loop;
@@ -143,8 +145,13 @@
             start(call, idle, request);
             return;
         }
+        long startNanos = nanoTime.getAsLong();
         ChannelFuture connecting = bootstrap.connect(backend.entry().address());
         connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                long now = nanoTime.getAsLong();
+                backend.onConnected((now - startNanos) / NANOS_PER_MS, now);
+            }
             if (!done.isSuccess()) {
                 request.release();
                 call.fail(Failure.NOT_SENT, "cannot connect: " + done.cause());
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendSelector.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntSupplier;
@@ -15,6 +16,7 @@
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry.Role;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
 import io.chivehollow.coordination.forwarding.locality.DomainCost;
+import io.chivehollow.coordination.forwarding.locality.Locality;
 import io.chivehollow.coordination.forwarding.speed.ExpectedTime;
 import io.chivehollow.coordination.forwarding.speed.TimedChoice;
 
@@ -72,13 +74,18 @@
     private final IntSupplier processCount;
     private final ToDoubleFunction<String> coldRequestsPerSecond;
     private final DomainCost domainCost;
+    private final Locality locality;
+    private final DomainFilter domainFilter;
 
     private BackendSelector(
             BackendTable table,
             RandomGenerator random,
             IntSupplier processCount,
             ToDoubleFunction<String> coldRequestsPerSecond,
-            DomainCost domainCost) {
+            DomainCost domainCost,
+            Locality locality) {
+        this.locality = locality;
+        this.domainFilter = new DomainFilter(locality);
         this.domainCost = domainCost;
         this.processCount = processCount;
         this.coldRequestsPerSecond = coldRequestsPerSecond;
@@ -112,7 +119,17 @@
             IntSupplier processCount,
             ToDoubleFunction<String> coldRequestsPerSecond,
             DomainCost domainCost) {
-        return new BackendSelector(table, random, processCount, coldRequestsPerSecond, domainCost);
+        return new BackendSelector(table, random, processCount, coldRequestsPerSecond, domainCost, Locality.off());
+    }
+
+    /** Returns a selector that also chooses the failure domain of requests, for services that are chosen by time. */
+    public static BackendSelector create(
+            BackendTable table,
+            RandomGenerator random,
+            IntSupplier processCount,
+            ToDoubleFunction<String> coldRequestsPerSecond,
+            Locality locality) {
+        return new BackendSelector(table, random, processCount, coldRequestsPerSecond, locality.cost(), locality);
     }
 
     /** Returns a selector for services that do not state how many requests a cold server tolerates. */
@@ -146,7 +163,9 @@
         List<Backend> candidates = candidates(service, RUN_ROLES, excluded, isOutOfService, nowNanos);
         boolean hasMemory = candidates.stream().anyMatch(backend -> backend.role() == Role.DECODE);
         if (!hasMemory && table.choosesByTime(service, nowNanos)) {
-            return chooseByTime(candidates, sizeBytes, nowNanos);
+            List<Backend> inDomain = domainFilter.narrow(
+                    service, candidates, backend -> expectedWaitMs(backend, nowNanos), isOutOfService, nowNanos);
+            return chooseByTime(inDomain, sizeBytes, nowNanos);
         }
         return leastLoaded(
                 candidates,
@@ -161,15 +180,45 @@
      */
     public Optional<Backend> selectForMemory(
             String service, long tokens, Predicate<FailureDomain> isOutOfService, long nowNanos) {
-        List<Backend> withMemory = filter(
-                candidates(service, MEMORY_ROLES, Set.of(), isOutOfService, nowNanos),
-                backend -> !backend.lacksMemory(tokens, nowNanos));
-        if (table.choosesByTime(service, nowNanos)) {
+        boolean isTimed = table.choosesByTime(service, nowNanos);
+        List<Backend> candidates = candidates(service, MEMORY_ROLES, Set.of(), isOutOfService, nowNanos);
+        List<Backend> inDomain =
+                isTimed ? inBestDomain(service, candidates, tokens, isOutOfService, nowNanos) : candidates;
+        List<Backend> withMemory = filter(inDomain, backend -> !backend.lacksMemory(tokens, nowNanos));
+        if (isTimed) {
             return chooseByTime(likelyFree(withMemory, tokens, nowNanos), 0, nowNanos);
         }
         return leastLoaded(withMemory, backend -> usedMemoryTokens(backend, nowNanos));
     }
 
+    /** Returns the decode servers of the domain in which the request most likely gets memory and its prompt is soon. */
+    private List<Backend> inBestDomain(
+            String service,
+            List<Backend> candidates,
+            long tokens,
+            Predicate<FailureDomain> isOutOfService,
+            long nowNanos) {
+        if (!locality.isOn()) {
+            return candidates;
+        }
+        Map<FailureDomain, Double> promptTimes = DomainFilter.promptTimes(
+                candidates,
+                candidates(service, EnumSet.of(Role.PREFILL), Set.of(), isOutOfService, nowNanos),
+                server -> expectedWaitMs(server, nowNanos),
+                locality.transferCostMs(service, (long) table.estimates(service).meanPromptTokens(), nowNanos));
+        boolean hasRoomAnywhere = candidates.stream().anyMatch(backend -> !backend.likelyLacksMemory(tokens, nowNanos));
+        return domainFilter.narrow(
+                service,
+                candidates,
+                backend -> hasRoomAnywhere && backend.likelyLacksMemory(tokens, nowNanos)
+                                || backend.lacksMemory(tokens, nowNanos)
+                        ? Double.POSITIVE_INFINITY
+                        : expectedWaitMs(backend, nowNanos)
+                                + promptTimes.get(backend.entry().domain()),
+                isOutOfService,
+                nowNanos);
+    }
+
     private static double usedMemoryTokens(Backend backend, long nowNanos) {
         return backend.memoryTokens()
                 + backend.otherRequests(nowNanos) * backend.estimates().meanMemoryTokens();
@@ -235,14 +284,19 @@
             Predicate<FailureDomain> isOutOfService,
             long nowNanos) {
         boolean isTimed = table.choosesByTime(demand.service(), nowNanos);
-        Optional<Backend> best = leastLoaded(
-                candidates(demand.service(), EnumSet.of(Role.PREFILL), excluded, isOutOfService, nowNanos),
-                backend -> (isTimed
-                                ? prefillMs(backend, demand.tokens(), nowNanos)
-                                : promptWaitMs(backend, 1, nowNanos))
-                        + (backend.entry().domain().equals(decodeServer.entry().domain())
-                                ? 0
-                                : demand.targetMs() * CROSS_DOMAIN_TARGET_SHARE));
+        List<Backend> servers =
+                candidates(demand.service(), EnumSet.of(Role.PREFILL), excluded, isOutOfService, nowNanos);
+        ToDoubleFunction<Backend> timeMs =
+                backend -> isTimed ? prefillMs(backend, demand.tokens(), nowNanos) : promptWaitMs(backend, 1, nowNanos);
+        double transferMs = isTimed && locality.isOn()
+                ? locality.transferCostMs(demand.service(), demand.tokens(), nowNanos)
+                : demand.targetMs() * CROSS_DOMAIN_TARGET_SHARE;
+        FailureDomain decodeDomain = decodeServer.entry().domain();
+        Optional<Backend> affordable = leastLoaded(
+                servers,
+                backend -> timeMs.applyAsDouble(backend)
+                        + (backend.entry().domain().equals(decodeDomain) ? 0 : transferMs));
+        Optional<Backend> best = affordable.isPresent() ? affordable : leastLoaded(servers, timeMs);
         boolean isDecodeServerFaster = isShortPrompt(demand)
                 && decodeServer.promptTokens() == 0
                 && best.isPresent()
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendTable.java
@@ -11,6 +11,7 @@
 
 import io.chivehollow.coordination.forwarding.adapter.BackendEntry;
 import io.chivehollow.coordination.forwarding.estimate.EngineEstimates;
+import io.chivehollow.coordination.forwarding.locality.LinkObserver;
 import io.chivehollow.coordination.forwarding.speed.SpeedListener;
 import io.chivehollow.coordination.forwarding.speed.WorkTimes;
 import org.jboss.logging.Logger;
@@ -31,8 +32,10 @@
     private final LongSupplier nanoTime;
     private final ServerNotices notices;
     private final SpeedListener speeds;
+    private final LinkObserver links;
 
-    private BackendTable(LongSupplier nanoTime, ServerChanges changes, SpeedListener speeds) {
+    private BackendTable(LongSupplier nanoTime, ServerChanges changes, SpeedListener speeds, LinkObserver links) {
+        this.links = links;
         this.nanoTime = nanoTime;
         this.speeds = speeds;
         this.notices = new ServerNotices(changes);
@@ -48,7 +51,13 @@
      * their speeds.
      */
     public static BackendTable create(LongSupplier nanoTime, ServerChanges changes, SpeedListener speeds) {
-        return new BackendTable(nanoTime, changes, speeds);
+        return create(nanoTime, changes, speeds, LinkObserver.NONE);
+    }
+
+    /** Returns an empty table that also reports what calls show about the paths to failure domains. */
+    public static BackendTable create(
+            LongSupplier nanoTime, ServerChanges changes, SpeedListener speeds, LinkObserver links) {
+        return new BackendTable(nanoTime, changes, speeds, links);
     }
 
     /** Replaces the list; returns the backend servers that were removed from it. */
@@ -65,7 +74,8 @@
                         entry.id(), entry.service(), entry.address(), entry.role());
                 byId.put(
                         entry.id(),
-                        new Backend(entry, estimates(entry.service()), workTimes(entry.service()), notices, now));
+                        new Backend(
+                                entry, estimates(entry.service()), workTimes(entry.service()), notices, links, now));
             } else {
                 logChange(backend.entry(), entry);
                 backend.update(entry, now);
--- a/src/main/java/io/chivehollow/coordination/forwarding/locality/Locality.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/locality/Locality.java
@@ -83,6 +83,11 @@
         return this != OFF;
     }
 
+    /** Returns the failure domain of this instance. */
+    public FailureDomain home() {
+        return home;
+    }
+
     /** Returns the cost of leaving. */
     public DomainCost cost() {
         return isOn() ? cost : DomainCost.none();
@@ -126,10 +131,10 @@
      * <p>A transfer between domains takes twice as long. A prompt that waits less than the smallest gain is on time in
      * either domain, so that its bytes would gain nothing.
      */
-    public double transferCostMs(String service, long tokens, long targetMs, long nowNanos) {
+    public double transferCostMs(String service, long tokens, long nowNanos) {
         ServiceFigures stated = figures.apply(service);
         return kvBudget.has(stated.kvBytes(tokens), nowNanos)
-                ? stated.kvTransferMs(tokens) + targetMs * DomainChooser.MIN_GAIN_TARGET_SHARE
+                ? stated.kvTransferMs(tokens) + stated.targetMs() * DomainChooser.MIN_GAIN_TARGET_SHARE
                 : Double.POSITIVE_INFINITY;
     }
 
--- a/src/test/java/io/chivehollow/coordination/forwarding/locality/LocalityTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/locality/LocalityTest.java
@@ -68,15 +68,15 @@
     @Test
     public void transferCostFollowsTheSizeOfThePromptAndTheBudget() {
         locality = create(new LocalityLimits(0, 100_000_000, 0));
-        double thousandMs = locality.transferCostMs("s", 1_000, 800, nowNanos);
-        assertEquals(locality.transferCostMs("s", 5_000, 800, nowNanos) - thousandMs, 4, 1e-6);
+        double thousandMs = locality.transferCostMs("s", 1_000, nowNanos);
+        assertEquals(locality.transferCostMs("s", 5_000, nowNanos) - thousandMs, 4, 1e-6);
         locality.onTransfer("s", HOME, HOME, 5_000, nowNanos);
         assertEquals(count("bytes.kv_cache"), 0);
         locality.onTransfer("s", OTHER, HOME, 5_000, nowNanos);
         assertEquals(count("bytes.kv_cache"), 90_000_000);
-        assertEquals(locality.transferCostMs("s", 5_000, 800, nowNanos), Double.POSITIVE_INFINITY);
+        assertEquals(locality.transferCostMs("s", 5_000, nowNanos), Double.POSITIVE_INFINITY);
         nowNanos += 1_000 * MS;
-        assertTrue(Double.isFinite(locality.transferCostMs("s", 5_000, 800, nowNanos)));
+        assertTrue(Double.isFinite(locality.transferCostMs("s", 5_000, nowNanos)));
     }
 
     @Test
