--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -1,5 +1,7 @@
 package io.chivehollow.coordination.forwarding.flow;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Consumer;
@@ -11,6 +13,7 @@
 import io.chivehollow.coordination.config.ConfigView;
 import io.chivehollow.coordination.config.Configuration;
 import io.chivehollow.coordination.forwarding.backend.PromptDemand;
+import io.chivehollow.coordination.forwarding.locality.ServiceFigures;
 import io.chivehollow.coordination.forwarding.queue.Urgency;
 import io.chivehollow.coordination.forwarding.route.RouteTable;
 import io.chivehollow.protocol.wire.EngineLimits;
@@ -54,6 +57,7 @@
     private final RandomGenerator random;
     private long tableVersion = -1;
     private @Nullable RouteTable table;
+    private final Map<String, ServiceFigures> figures = new HashMap<>();
 
     private Admission(ConfigView config, RandomGenerator random) {
         this.config = config;
@@ -74,6 +78,7 @@
         if (current.get().version() != tableVersion) {
             table = RouteTable.of(current.get().state().getDeployment());
             tableVersion = current.get().version();
+            figures.clear();
         }
         return Optional.ofNullable(table);
     }
@@ -92,6 +97,19 @@
                 .orElse(0L);
     }
 
+    /** Returns what the deployment in effect states about the service. */
+    public ServiceFigures serviceFigures(String service) {
+        return routes().map(routes -> figures.computeIfAbsent(service, id -> serviceFigures(routes, id)))
+                .orElse(ServiceFigures.UNKNOWN);
+    }
+
+    private static ServiceFigures serviceFigures(RouteTable routes, String service) {
+        EngineLimits engine =
+                routes.service(service).map(ForwardService::getEngine).orElse(EngineLimits.getDefaultInstance());
+        return new ServiceFigures(
+                routes.shortestTargetMs(service), engine.getKvBytesPerToken(), engine.getLinkMegabitsPerSecond());
+    }
+
     /** Returns whether operators have taken the failure domain out of service. */
     boolean isOutOfService(FailureDomain domain) {
         return config.current().map(current -> current.isOutOfService(domain)).orElse(false);
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -210,6 +210,7 @@
 
         @Override
         public boolean onData(ByteBuf data) {
+            openAttempt.onData(started, data.readableBytes());
             if (isDiscarded) {
                 discardedBytes += data.readableBytes();
                 data.release();
--- a/src/main/java/io/chivehollow/coordination/forwarding/locality/package-info.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/locality/package-info.java
@@ -1,4 +1,4 @@
-/** The use of links between failure domains. */
+/** Decides which requests are sent to backend servers of other failure domains, and accounts for what they cost. */
 @NullMarked
 package io.chivehollow.coordination.forwarding.locality;
 
