--- a/src/main/java/io/chivehollow/coordination/forwarding/pressure/ProcessPressure.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/pressure/ProcessPressure.java
@@ -21,6 +21,9 @@
     private static final Logger LOG = Logger.getLogger(ProcessPressure.class);
 
     private static final String PREFIX = "forwarding.";
+    /** The gauges are renewed every second, like those of the other roles. */
+    private static final long PUBLISH_TICKS = 1_000 / ProcessLoad.TICK_MS;
+
     private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(ProcessLoad.TICK_MS);
 
     private final LongSupplier nanoTime;
@@ -28,6 +31,7 @@
     private final ProcessLoad load;
     private final RefusalShare refusals = RefusalShare.create();
     private final MetricRegistry registry;
+    private long ticks;
     private long lastStepNanos;
     private long refusedRequests;
     private Resource scarceResource = Resource.PROCESSOR;
@@ -81,7 +85,9 @@
         long nowNanos = nanoTime.getAsLong();
         load.onTick(nowNanos, openConnections, shortestTargetMs);
         stepIfDue(nowNanos);
-        publish();
+        if (++ticks % PUBLISH_TICKS == 0) {
+            publish();
+        }
     }
 
     /**
