--- a/src/test/java/io/chivehollow/coordination/forwarding/route/RouteTableTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/route/RouteTableTest.java
@@ -48,6 +48,25 @@
         assertEquals(match("SHOP.example:8080", "/orders/7"), "orders");
     }
 
+    /** A service must not wait for as long as its slowest route allows. */
+    @Test
+    public void shortestTargetOfTheRoutesOfAServiceCounts() {
+        RouteTable table = RouteTable.of(Deployment.newBuilder()
+                .addRoutes(target(route("slow", "a.example", "/slow/"), "s", 2_000))
+                .addRoutes(target(route("fast", "b.example", "/fast/"), "s", 800))
+                .addRoutes(target(route("other", "b.example", "/other/"), "t", 100))
+                .build());
+        assertEquals(table.shortestTargetMs("s"), 800);
+        assertEquals(table.shortestTargetMs("unknown"), 0);
+    }
+
+    private static ForwardRoute target(ForwardRoute route, String service, int targetMs) {
+        return route.toBuilder()
+                .setTargetMs(targetMs)
+                .addTargets(WeightedService.newBuilder().setService(service).setWeight(1))
+                .build();
+    }
+
     @Test
     public void keyBelongsToOneTeam() {
         assertEquals(TABLE.team("k2").map(TeamAccess::getTeam).orElse(""), "red");
