--- a/src/main/java/io/chivehollow/coordination/forwarding/adapter/UnreadableLoad.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/adapter/UnreadableLoad.java
@@ -8,7 +8,7 @@
  * <p>Immutable and thread-safe.
  *
  * @param reason why it cannot be read
- * @param text the begin of the report in printable characters
+ * @param text the beginning of the report in printable characters
  */
 public record UnreadableLoad(Reason reason, String text) {
 
