Refuse responses whose status is none of HTTP

Cause: the codec accepts every number. A server's status 000, 099 or 600 was passed on to the caller as an answer, as "HTTP/1.1 0 Unknown" for instance, and counted as a response of the engine, of the list of backend servers and of a gateway.

StatusCodes tells what is valid, 100 to 599, on each path that reads responses. Any other number makes the response broken: its connection is closed, and the call fails or is repeated as after an interrupted response.

--- a/src/main/java/io/chivehollow/cli/AdminClient.java
+++ b/src/main/java/io/chivehollow/cli/AdminClient.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.chivehollow.base.ErrorCode;
+import io.chivehollow.protocol.StatusCodes;
 import io.micronaut.core.type.Argument;
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
@@ -69,16 +70,22 @@
         try {
             HttpResponse<String> response =
                     client.toBlocking().exchange(request, Argument.of(String.class), Argument.of(String.class));
+            checkStatus(response.code());
             return parse(response.getBody().orElse(""));
         } catch (HttpClientResponseException e) {
-            throw toException(
-                    e.getStatus().getCode(),
-                    e.getResponse().getBody(String.class).orElse(""));
+            checkStatus(e.code());
+            throw toException(e.code(), e.getResponse().getBody(String.class).orElse(""));
         } catch (HttpClientException e) {
             throw CliException.unreachable("No response from " + gateway + ": " + e.getMessage(), e);
         }
     }
 
+    private void checkStatus(int status) {
+        if (!StatusCodes.isValid(status)) {
+            throw CliException.unreachable("No response from " + gateway + ": the status is " + status, null);
+        }
+    }
+
     private static CliException toException(int status, String body) {
         JsonNode error = parse(body).path("error");
         StringBuilder message = new StringBuilder()
--- a/src/main/java/io/chivehollow/cli/CliException.java
+++ b/src/main/java/io/chivehollow/cli/CliException.java
@@ -24,7 +24,7 @@
         return new CliException(exitCode, code, message, null);
     }
 
-    static CliException unreachable(String message, Throwable cause) {
+    static CliException unreachable(String message, @Nullable Throwable cause) {
         return new CliException(ExitCode.UNREACHABLE, ErrorCode.CONNECTION_LOST, message, cause);
     }
 
--- a/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/NettyHttpFetcher.java
@@ -7,6 +7,7 @@
 import io.chivehollow.base.ErrorCode;
 import io.chivehollow.coordination.CoordinationException;
 import io.chivehollow.coordination.forwarding.adapter.HttpFetcher;
+import io.chivehollow.protocol.StatusCodes;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -114,6 +115,8 @@
                         result,
                         "The response is not valid HTTP",
                         response.decoderResult().cause());
+            } else if (!StatusCodes.isValid(response.status().code())) {
+                fail(result, "The status is " + response.status().code(), null);
             } else {
                 result.complete(new Document(response.status().code(), ByteBufUtil.getBytes(response.content())));
             }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseDecoder.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseDecoder.java
@@ -5,6 +5,7 @@
 import com.google.common.base.CharMatcher;
 import com.google.common.base.Preconditions;
 import io.chivehollow.protocol.HeadCheck;
+import io.chivehollow.protocol.StatusCodes;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
@@ -60,11 +61,12 @@
         }
     }
 
-    /** The superclass parses a number, which may have a sign. */
+    /** The superclass parses a number, which may have a sign and any value. */
     @Override
     protected String splitSecondWordInitialLine(byte[] line, int start, int length) {
         String status = super.splitSecondWordInitialLine(line, start, length);
-        Preconditions.checkArgument(STATUS.matchesAllOf(status) && length == 3, "The status is %s", status);
+        boolean isValid = STATUS.matchesAllOf(status) && length == 3 && StatusCodes.isValid(Integer.parseInt(status));
+        Preconditions.checkArgument(isValid, "The status is %s", status);
         return status;
     }
 
--- a/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
+++ b/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 
 import io.chivehollow.base.ErrorCode;
+import io.chivehollow.protocol.StatusCodes;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -120,6 +121,15 @@
             return;
         }
         if (message instanceof HttpResponse response) {
+            if (!StatusCodes.isValid(response.status().code())) {
+                fail(EngineException.mayHaveRun(
+                        ErrorCode.BACKEND_FAILED,
+                        "Response is not valid HTTP: the status is "
+                                + response.status().code(),
+                        null));
+                ctx.close();
+                return;
+            }
             isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         }
         if (isInterim) {
--- a/src/main/java/io/chivehollow/protocol/engine/StatusConnection.java
+++ b/src/main/java/io/chivehollow/protocol/engine/StatusConnection.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 
 import io.chivehollow.base.ErrorCode;
+import io.chivehollow.protocol.StatusCodes;
 import io.chivehollow.protocol.engine.CollectingHandler.CollectedResponse;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -194,9 +195,10 @@
                 return;
             }
             CollectingHandler handler = collector;
-            if (handler == null
-                    || ctx.channel() != channel
-                    || message.decoderResult().isFailure()) {
+            boolean isMalformed = message.decoderResult().isFailure()
+                    || message instanceof HttpResponse head
+                            && !StatusCodes.isValid(head.status().code());
+            if (handler == null || ctx.channel() != channel || isMalformed) {
                 exceptionCaught(ctx, new IllegalStateException("Response is malformed or unexpected"));
                 return;
             }
--- a/src/test/java/io/chivehollow/coordination/forwarding/NettyHttpFetcherTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/NettyHttpFetcherTest.java
@@ -99,6 +99,18 @@
         assertEquals(fetcher().get(address(), "/").join().status(), 200);
     }
 
+    @DataProvider
+    public Object[][] invalidStatuses() {
+        return new Object[][] {{"000"}, {"099"}, {"600"}, {"1000"}};
+    }
+
+    @Test(dataProvider = "invalidStatuses")
+    public void documentWithAnInvalidStatusIsRefused(String status) {
+        serve("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok", "", 0);
+        expectThrows(
+                CompletionException.class, () -> fetcher().get(address(), "/").join());
+    }
+
     /** One entry of another writer must not make the whole page unreadable. */
     @Test
     public void pageWithOneVeryLargeEntryIsReturned() {
--- a/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
+++ b/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
@@ -18,6 +18,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -164,6 +165,28 @@
         }
     }
 
+    @DataProvider
+    public Object[][] invalidStatuses() {
+        return new Object[][] {{"000"}, {"099"}, {"600"}, {"1000"}, {"-20"}};
+    }
+
+    @Test(dataProvider = "invalidStatuses")
+    public void invalidStatusIsNoResponse(String status) throws Exception {
+        EngineCall<PlainResponse> call = call();
+        try (Socket connection = respond("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok")) {
+            assertInterrupted(call.result());
+        }
+    }
+
+    @Test(dataProvider = "invalidStatuses")
+    public void invalidStatusOfTheStatusCallIsNoResponse(String status) throws Exception {
+        CompletableFuture<EngineStatus> result = client.status();
+        try (Socket connection = respond("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok")) {
+            EngineException failure = HttpEngineClient.failureOf(expectThrows(Exception.class, result::join));
+            assertEquals(failure.getMessage(), "Connection to the backend server failed");
+        }
+    }
+
     /** The engine begins to respond, reads only a part of the request, and resets the connection. */
     @Test
     public void responseWithoutLengthIsNotCompletedByAFailedWrite() throws Exception {
