Complete a response without a length only if its server has read the request

Cause: the end of the connection completed such a response if the run was alive afterwards. A server that answered early, closed the connection in order and went on had its partial answer passed on as complete. Its system resets the connection because of the unread bytes, but after the end of the response, when reading reports no error.

RequestReadCheck: the request must be written before the end; an empty line written 20 ms later (0.4 s after the write of a body above 64 KB) must not meet a reset; and a server with a longer body must close both directions within 0.2 s. The connections to servers allow half closure and limit their send buffers to 128 KB for that. It applies to responses to callers, to prefills, and to calls of engines. A response of which only the head is used (a refusal) ends as before.

--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendCall.java
@@ -3,7 +3,9 @@
 import java.util.concurrent.TimeUnit;
 
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
+import io.chivehollow.protocol.RequestReadCheck;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -18,10 +20,8 @@
  */
 public final class BackendCall {
 
-    /** Time in milliseconds in which a process that ends closes its connections, one after the other. */
-    private static final int CRASH_MS = 20;
-
     private final BackendConnections connections;
+    private final RequestReadCheck readCheck = RequestReadCheck.create();
     final Backend backend;
     final BackendListener listener;
     final @Nullable String requestId;
@@ -58,7 +58,10 @@
 
     void write(Channel open, FullHttpRequest request, BackendHandler handler) {
         channel = open;
-        open.writeAndFlush(request).addListener(written -> {
+        int bodyBytes = request.content().readableBytes();
+        ChannelFuture writing = open.writeAndFlush(request);
+        readCheck.onWrite(writing, bodyBytes);
+        writing.addListener(written -> {
             if (!written.isSuccess()) {
                 handler.onWriteFailure(written.cause());
             }
@@ -74,6 +77,11 @@
         }
     }
 
+    /** Returns whether the whole request was written to the transport. */
+    boolean isRequestWritten() {
+        return readCheck.isWritten();
+    }
+
     private void end() {
         isEnded = true;
         endObservation();
@@ -141,7 +149,10 @@
         }
     }
 
-    /** Completes a response whose end only the connection marks, if the run that sent it is shown to be alive. */
+    /**
+     * Completes a response whose end only the connection marks, if the run that sent it is shown to have read the
+     * request and to be alive. The first check takes longer than a process that ends needs to close its connections.
+     */
     void completeIfRunIsAlive() {
         if (isEnded) {
             return;
@@ -151,7 +162,29 @@
             return;
         }
         RunWitness.Observation observed = observation;
-        connections.loop().schedule(() -> observed.checkAlive(this::onRunChecked), CRASH_MS, TimeUnit.MILLISECONDS);
+        checkRead(() -> observed.checkAlive(this::onRunChecked));
+    }
+
+    /** Completes a response whose content shows its end, if the server is shown to have read the request. */
+    void completeIfRead() {
+        if (isOwn) {
+            complete(false);
+        } else if (!isEnded) {
+            checkRead(() -> complete(false));
+        }
+    }
+
+    private void checkRead(Runnable onRead) {
+        readCheck.check(channel, hasRead -> {
+            if (isEnded) {
+                return;
+            }
+            if (hasRead) {
+                onRead.run();
+            } else {
+                fail(Failure.BROKEN_ANSWER, "the connection ended, and the request is not shown to have been read");
+            }
+        });
     }
 
     private void onRunChecked(boolean isAlive) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendConnections.java
@@ -10,6 +10,7 @@
 import io.chivehollow.coordination.forwarding.adapter.ResponseFields;
 import io.chivehollow.coordination.forwarding.backend.Backend.IdleConnection;
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
+import io.chivehollow.protocol.RequestReadCheck;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -74,6 +75,8 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.SO_SNDBUF, RequestReadCheck.SEND_BUFFER_BYTES)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendHandler.java
@@ -4,6 +4,7 @@
 import io.chivehollow.coordination.forwarding.backend.BackendListener.Failure;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -45,6 +46,8 @@
     private boolean isInterim;
     private boolean isEndStated;
     private boolean isKeepAlive;
+    private boolean isInputEnded;
+    private boolean isEndChecked;
     private @Nullable Throwable error;
 
     BackendHandler(Dialect dialect, ResponseDecoder decoder) {
@@ -162,7 +165,7 @@
         if (isLast && !isInterim) {
             call = null;
             // The codec ends a response before its connection ends only if the response states its end or has no body.
-            isEndStated |= context.channel().isActive();
+            isEndStated |= context.channel().isActive() && !isInputEnded;
             completed = current;
         }
     }
@@ -184,14 +187,38 @@
         if (ended == null) {
             return;
         }
-        ResponseEnd.Verdict verdict = ResponseEnd.of(isEndStated, error != null, ended.listener.isEndInContent());
-        if (verdict == ResponseEnd.Verdict.COMPLETE) {
-            ended.complete(isEndStated && isKeepAlive);
-        } else if (verdict == ResponseEnd.Verdict.DEPENDS_ON_RUN) {
-            ended.completeIfRunIsAlive();
-        } else {
-            ended.fail(Failure.BROKEN_ANSWER, "connection failed: " + error);
+        boolean isWritten = ended.isRequestWritten();
+        ResponseEnd.Verdict verdict = ResponseEnd.of(isEndStated, error != null, isWritten, ended.listener);
+        switch (verdict) {
+            case COMPLETE -> ended.complete(isEndStated && isKeepAlive && isWritten && !isInputEnded);
+            case DEPENDS_ON_READ -> {
+                isEndChecked = true;
+                ended.completeIfRead();
+            }
+            case DEPENDS_ON_RUN -> {
+                isEndChecked = true;
+                ended.completeIfRunIsAlive();
+            }
+            default -> ended.fail(
+                    Failure.BROKEN_ANSWER,
+                    error == null
+                            ? "the connection ended before the request was written"
+                            : "connection failed: " + error);
+        }
+    }
+
+    /** Called when the server has ended its direction, before the decoder ends a response because of that. */
+    void onInputEnd() {
+        isInputEnded = true;
+    }
+
+    /** Closes the connection, unless its other direction is still needed to check the end of the response. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !isEndChecked) {
+            context.close();
         }
+        context.fireUserEventTriggered(event);
     }
 
     @Override
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/BackendListener.java
@@ -30,6 +30,11 @@
         return false;
     }
 
+    /** Returns whether the body is not used, so that an orderly end of the connection may end it anywhere. */
+    default boolean isHeadEnough() {
+        return false;
+    }
+
     /**
      * Called before {@link #onEnd} or {@link #onFailure} if only the connection marks the end of the response.
      *
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ReceivedBytes.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ReceivedBytes.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 
 /**
  * Counts the bytes that arrive on the connection to a backend server, before they are decoded.
@@ -33,4 +34,13 @@
         context.fireChannelRead(data);
         handler.checkLimits();
     }
+
+    /** The decoder ends a response of no stated length at this event. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            handler.onInputEnd();
+        }
+        context.fireUserEventTriggered(event);
+    }
 }
--- a/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseEnd.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/backend/ResponseEnd.java
@@ -9,16 +9,22 @@
  *   <tr><td>length, chunks</td><td>any</td><td>after the last byte, or not</td><td>complete</td></tr>
  *   <tr><td>length, chunks</td><td>any</td><td>before the last byte</td><td>incomplete</td></tr>
  *   <tr><td>head (no body)</td><td>any</td><td>after the head, or not</td><td>complete</td></tr>
- *   <tr><td>content (JSON)</td><td>any</td><td>in order</td><td>complete if its receiver can parse it</td></tr>
- *   <tr><td>connection</td><td>any</td><td>in order</td><td>complete if its run is alive afterwards</td></tr>
+ *   <tr><td>head (body unused)</td><td>any</td><td>in order</td><td>complete</td></tr>
+ *   <tr><td>content (JSON)</td><td>any</td><td>in order</td><td>complete if its receiver can parse it and, for a
+ *     request of a caller, the server has read the whole request</td></tr>
+ *   <tr><td>connection</td><td>any</td><td>in order</td><td>complete if the server has read the whole request and its
+ *     run is alive afterwards</td></tr>
  *   <tr><td>any</td><td>any</td><td>reset, failed write, closed here</td><td>incomplete</td></tr>
  * </table>
  *
  * <p>A stream is also incomplete if it ends within an event, and, if the connection marks its end, if the run has sent
  * no event. The state of the server in the platform's list (ready, draining, leaving, removed, replaced at its address)
- * changes none of this: a server of each state can end a response in order or in the middle. {@link RunWitness} tells
- * whether the run is alive. A run that ends such a response too early and lives on cannot be told from one that has
- * completed it.
+ * changes none of this: a server of each state can end a response in order or in the middle.
+ *
+ * <p>A response whose end is not stated is incomplete if it ends before the request is written.
+ * {@link io.chivehollow.protocol.RequestReadCheck} tells whether the server has read what was written, and
+ * {@link RunWitness} whether the run is alive. A run that has read the request, ends such a response too early and
+ * lives on cannot be told from one that has completed it.
  *
  * <p>Stateless and thread-safe.
  */
@@ -30,7 +36,9 @@
     enum Verdict {
         COMPLETE,
         INCOMPLETE,
-        /** The response is complete if the run that sent it is alive. */
+        /** The response is complete if the server has read the request. */
+        DEPENDS_ON_READ,
+        /** The response is complete if the run that sent it has read the request and is alive. */
         DEPENDS_ON_RUN
     }
 
@@ -39,13 +47,21 @@
      *
      * @param isEndStated whether a length, chunks or the head mark the end
      * @param hasConnectionFailed whether the connection ended in another way than an orderly close by the server
-     * @param isEndInContent whether the receiver finds the end in the content
+     * @param isRequestWritten whether the whole request was written before
+     * @param listener receiver of the response
      */
-    static Verdict of(boolean isEndStated, boolean hasConnectionFailed, boolean isEndInContent) {
+    static Verdict of(
+            boolean isEndStated, boolean hasConnectionFailed, boolean isRequestWritten, BackendListener listener) {
         if (hasConnectionFailed) {
             return Verdict.INCOMPLETE;
         }
-        return isEndStated || isEndInContent ? Verdict.COMPLETE : Verdict.DEPENDS_ON_RUN;
+        if (isEndStated || listener.isHeadEnough()) {
+            return Verdict.COMPLETE;
+        }
+        if (!isRequestWritten) {
+            return Verdict.INCOMPLETE;
+        }
+        return listener.isEndInContent() ? Verdict.DEPENDS_ON_READ : Verdict.DEPENDS_ON_RUN;
     }
 
     /**
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/RunStage.java
@@ -213,7 +213,7 @@
 
         /** Of a response that is not passed on, only the head counts. */
         @Override
-        public boolean isEndInContent() {
+        public boolean isHeadEnough() {
             return isDiscarded;
         }
 
--- a/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
+++ b/src/main/java/io/chivehollow/protocol/engine/EngineHttpExchange.java
@@ -5,12 +5,14 @@
 import java.util.function.Consumer;
 
 import io.chivehollow.base.ErrorCode;
+import io.chivehollow.protocol.RequestReadCheck;
 import io.chivehollow.protocol.StatusCodes;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
@@ -18,6 +20,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -46,9 +49,11 @@
     private final InetSocketAddress address;
     private final RunCheck runCheck;
     private final ResponseHandler handler;
+    private final RequestReadCheck readCheck = RequestReadCheck.create();
     private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
     private boolean isInterim;
     private boolean isClosedHere;
+    private boolean isInputEnded;
     private boolean isEndChecked;
     private boolean isEnded;
 
@@ -79,10 +84,13 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.SO_SNDBUF, RequestReadCheck.SEND_BUFFER_BYTES)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
+                                .addLast(exchange.new InputEndRecorder())
                                 .addLast(new ReadTimeoutHandler(readTimeoutMs, TimeUnit.MILLISECONDS))
                                 .addLast(new HttpClientCodec())
                                 .addLast(exchange.new CloseRecorder())
@@ -92,7 +100,10 @@
         ChannelFuture connecting = bootstrap.connect(address);
         connecting.addListener(done -> {
             if (done.isSuccess()) {
-                connecting.channel().writeAndFlush(request).addListener(written -> {
+                int bodyBytes = request.content().readableBytes();
+                ChannelFuture writing = connecting.channel().writeAndFlush(request);
+                exchange.readCheck.onWrite(writing, bodyBytes);
+                writing.addListener(written -> {
                     if (!written.isSuccess()) {
                         // The transport closes the connection and reports the failure to the writer only.
                         exchange.isClosedHere = true;
@@ -149,14 +160,42 @@
     }
 
     private void onLast(ChannelHandlerContext ctx) {
-        if (ctx.channel().isActive() || handler.hasEnd()) {
+        boolean isEndStated = ctx.channel().isActive() && !isInputEnded;
+        if (isEndStated) {
             end();
             ctx.close();
         } else if (!isClosedHere && !ctx.channel().eventLoop().isShuttingDown()) {
             isEndChecked = true;
+            readCheck.check(ctx.channel(), hasRead -> onReadChecked(ctx, hasRead));
+        }
+    }
+
+    /** The check of the run takes place last, because the connections of a run that crashes end one by one. */
+    private void onReadChecked(ChannelHandlerContext ctx, boolean hasRead) {
+        ctx.close();
+        if (isEnded) {
+            return;
+        }
+        if (hasRead && handler.hasEnd()) {
+            end();
+        } else if (hasRead) {
             EventLoop loop = ctx.channel().eventLoop();
             runCheck.isAlive(headers, isAlive -> loop.execute(() -> endIf(isAlive)));
+        } else {
+            fail(EngineException.mayHaveRun(
+                    ErrorCode.BACKEND_FAILED,
+                    "The connection ended, and the request is not shown to have been read",
+                    null));
+        }
+    }
+
+    /** Closes the connection, unless its other direction is still needed to check the end of the response. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !isEndChecked) {
+            ctx.close();
         }
+        ctx.fireUserEventTriggered(event);
     }
 
     /**
@@ -224,6 +263,16 @@
         void isAlive(HttpHeaders headers, Consumer<Boolean> receiver);
     }
 
+    /** Records the end of the input before the decoder ends a response of no stated length because of it. */
+    private final class InputEndRecorder extends ChannelInboundHandlerAdapter {
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            isInputEnded |= event instanceof ChannelInputShutdownEvent;
+            ctx.fireUserEventTriggered(event);
+        }
+    }
+
     /** Records that this process closes the connection, which ends a response of no stated length in the decoder. */
     private final class CloseRecorder extends ChannelOutboundHandlerAdapter {
 
--- a/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
+++ b/src/test/java/io/chivehollow/protocol/engine/InterruptedEngineResponseTest.java
@@ -165,6 +165,39 @@
         }
     }
 
+    @DataProvider
+    public Object[][] unreadBytes() {
+        return new Object[][] {{3_000_000, 20_000}, {3_000_000, 2_999_999}, {200, 0}, {200, 199}};
+    }
+
+    /** The engine responds without reading the whole request, closes the connection in order and goes on. */
+    @Test(dataProvider = "unreadBytes")
+    public void responseWithoutLengthIsNotCompleteIfTheRequestWasNotRead(int bodyBytes, int readBytes)
+            throws Exception {
+        EngineCall<PlainResponse> call =
+                client.callPlain(new PlainRequest("POST", "/", List.of(), new byte[bodyBytes]));
+        try (Socket connection = server.accept()) {
+            readHead(connection);
+            connection.getInputStream().readNBytes(readBytes);
+            connection.getOutputStream().write((UNFRAMED + "the first half").getBytes(StandardCharsets.US_ASCII));
+        }
+        CompletableFuture.runAsync(() -> {
+            try {
+                respondToStatus("boot1");
+            } catch (IOException e) {
+                // The client does not ask whether the run is alive.
+            }
+        });
+        assertInterrupted(call.result());
+    }
+
+    private static void readHead(Socket connection) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) connection.getInputStream().read());
+        }
+    }
+
     @DataProvider
     public Object[][] invalidStatuses() {
         return new Object[][] {{"000"}, {"099"}, {"600"}, {"1000"}, {"-20"}};
