--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/ForwardFlow.java
@@ -247,10 +247,13 @@
 
     /**
      * Refuses the request with a randomized retry time, so that the retries of refused callers are spread over the time
-     * after the burst has ended.
+     * after the burst has ended, but not before the queue is expected to have drained.
      */
     private void refuseOverloaded(String message) {
-        refuseNotRun(message, MIN_MEMORY_RETRY_MS + ThreadLocalRandom.current().nextLong(MEMORY_RETRY_SPREAD_MS));
+        long randomMs = MIN_MEMORY_RETRY_MS + ThreadLocalRandom.current().nextLong(MEMORY_RETRY_SPREAD_MS);
+        long drainMs = Math.min(
+                services.memoryQueue().drainMs(admitted().service()), MIN_MEMORY_RETRY_MS + MEMORY_RETRY_SPREAD_MS);
+        refuseNotRun(message, Math.max(randomMs, drainMs));
     }
 
     /** Refuses the request with the retry time, or ends it with an error if it may have run. */
--- a/src/main/java/io/chivehollow/coordination/forwarding/queue/RequestOrder.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/queue/RequestOrder.java
@@ -12,10 +12,10 @@
 /**
  * Orders the waiting requests of one service by urgency.
  *
- * <p>Requests are ordered by rank, which improves while they wait, so that none waits for ever. Within a rank, those
- * that can still meet their target precede the others, teams that have received less in relation to their share precede
- * those that have received more, and among the rest the one that has to start first precedes. A request that fits passes
- * one that does not.
+ * <p>Requests are ordered by rank, which improves while they wait; a last try precedes all others at the end of its
+ * wait, so that none waits for ever. Within a rank, those that can still meet their target precede the others, teams
+ * that have received less in relation to their share precede those that have received more, and among the rest the one
+ * that has to start first precedes. A request that fits passes one that does not.
  *
  * <p>Other processes have queues of their own for the same servers. So that the order holds among them too, a request
  * that was refused is tried again after a pause that grows with its rank: what a server releases is most likely found
@@ -36,7 +36,7 @@
     /** Share of a server's capacity up to which more than the size of the request itself may be required. */
     private static final double MAX_REQUIRED_SHARE = 0.75;
 
-    /** Pause in nanoseconds between two attempts of the most urgent requests; at full load, a run ends about as often. */
+    /** Pause in nanoseconds between two attempts of the most urgent requests; runs end about as often at full load. */
     private static final double MIN_PAUSE_NANOS = 25e6;
 
     /** Ratio of the pauses of two successive ranks; several processes compete for what a server releases. */
@@ -47,11 +47,8 @@
     /** Ranks by which a late request pauses longer, so that it rarely takes what another one needs to be on time. */
     private static final int LATE_PAUSE_RANKS = 2;
 
-    /** Part of its wait after which a late request, whose caller does not return, no longer yields to others. */
-    private static final double FINAL_SHARE = 0.9;
-
-    /** Ranks by which a request pauses longer whose team has received much more than its share. */
-    private static final int EXCESS_PAUSE_RANKS = 1;
+    /** Ranks by which a request yields whose team has received much more than its share. */
+    private static final int EXCESS_RANKS = 2;
 
     private final Map<T, WaitingRequest> waiting = new LinkedHashMap<>();
     private final Map<T, Long> dueNanos = new HashMap<>();
@@ -124,8 +121,8 @@
         if (!wasScarce || nowNanos - scarceEndNanos > 0) {
             return request.size();
         }
-        double required = request.size()
-                * (1 + HEADROOM_PER_RANK * (request.agedRank(nowNanos) + lateRanks(request, nowNanos, 1)));
+        double ranks = request.agedRank(nowNanos) + lateRanks(request, nowNanos, 1) + excessRanks(request, nowNanos);
+        double required = request.size() * (1 + HEADROOM_PER_RANK * ranks);
         double limit = serverSize > 0 ? serverSize * MAX_REQUIRED_SHARE : required;
         return Math.max(request.size(), (long) Math.min(required, limit));
     }
@@ -137,7 +134,7 @@
         return ordered;
     }
 
-    /** Records that no server has capacity for the request; it is tried again after a pause that grows with its rank. */
+    /** Records that no server has capacity for the request, which is tried again after a pause. */
     public void onUnplaced(T item, long nowNanos) {
         WaitingRequest request = waiting.get(item);
         if (request == null) {
@@ -145,7 +142,7 @@
         }
         int ranks = request.agedRank(nowNanos)
                 + lateRanks(request, nowNanos, LATE_PAUSE_RANKS)
-                + (exceedsShare(request, nowNanos) ? EXCESS_PAUSE_RANKS : 0);
+                + excessRanks(request, nowNanos);
         double pauseNanos = Math.min(MAX_PAUSE_NANOS, MIN_PAUSE_NANOS * Math.pow(PAUSE_RATIO, ranks));
         dueNanos.put(item, nowNanos + (long) pauseNanos);
     }
@@ -202,7 +199,8 @@
         List<T> ordered = new ArrayList<>(waiting.keySet());
         Map<T, Double> received = new HashMap<>();
         waiting.forEach((item, request) -> received.put(item, sharesOf(request).received(request.urgency(), nowNanos)));
-        ordered.sort(Comparator.comparingInt((T item) -> waiting.get(item).agedRank(nowNanos))
+        ordered.sort(Comparator.comparing((T item) -> !waiting.get(item).isOverdue(nowNanos))
+                .thenComparingInt(item -> waiting.get(item).agedRank(nowNanos))
                 .thenComparing(item -> waiting.get(item).isLate())
                 .thenComparingDouble(received::get)
                 .thenComparingLong(item -> waiting.get(item).expiryNanos() - nowNanos));
@@ -215,11 +213,11 @@
 
     /** Returns the given number for a late request, except at the end of its wait, and 0 for another one. */
     private static int lateRanks(WaitingRequest request, long nowNanos, int ranks) {
-        return request.isLate() && request.waitedShare(nowNanos) < FINAL_SHARE ? ranks : 0;
+        return request.isLate() && !request.isOverdue(nowNanos) ? ranks : 0;
     }
 
-    private boolean exceedsShare(WaitingRequest request, long nowNanos) {
-        return sharesOf(request).exceedsShare(request.urgency(), nowNanos);
+    private int excessRanks(WaitingRequest request, long nowNanos) {
+        return sharesOf(request).exceedsShare(request.urgency(), nowNanos) ? EXCESS_RANKS : 0;
     }
 
     private TeamShares sharesOf(WaitingRequest request) {
--- a/src/main/java/io/chivehollow/coordination/forwarding/queue/WaitingRequest.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/queue/WaitingRequest.java
@@ -16,6 +16,9 @@
  */
 public record WaitingRequest(Urgency urgency, long size, long arrivalNanos, long expiryNanos, boolean isLate) {
 
+    /** Part of the wait of a late request after which a server most likely has to be found soon or never. */
+    private static final double OVERDUE_SHARE = 0.75;
+
     /** Checks the values. */
     public WaitingRequest {
         checkArgument(size > 0, "size must be positive, but was %s", size);
@@ -28,6 +31,11 @@
         return waitNanos == 0 ? 1 : Math.max(0, Math.min(1, (double) (nowNanos - arrivalNanos) / waitNanos));
     }
 
+    /** Returns whether a late request is in the last part of its wait, in which it no longer yields to others. */
+    boolean isOverdue(long nowNanos) {
+        return isLate && waitedShare(nowNanos) >= OVERDUE_SHARE;
+    }
+
     /**
      * Returns the rank after ageing. A late request, whose caller does not return once more, reaches rank 0 at the end
      * of its wait; another one improves by one rank in the second half.
@@ -36,7 +44,7 @@
         int rank = urgency.rank();
         double waited = waitedShare(nowNanos);
         if (isLate) {
-            return (int) Math.ceil(rank * (1 - waited));
+            return isOverdue(nowNanos) ? 0 : (int) Math.ceil(rank * (1 - waited));
         }
         return waited < 0.5 ? rank : Math.max(0, rank - 1);
     }
--- a/src/test/java/io/chivehollow/coordination/forwarding/route/RouteTableTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/route/RouteTableTest.java
@@ -7,6 +7,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** Guards against requests that match the wrong route or are accounted to the wrong team. */
@@ -54,6 +55,22 @@
         assertTrue(TABLE.team("k3").isEmpty());
     }
 
+    @Test
+    public void rankCountsTheMoreUrgentPrioritiesOfTheService() {
+        RouteTable table = RouteTable.of(Deployment.newBuilder()
+                .addRoutes(route("a", "h", "/a/").toBuilder().setPriority(0).addTargets(target("model")))
+                .addRoutes(route("b", "h", "/b/").toBuilder().setPriority(5).addTargets(target("model")))
+                .addRoutes(route("c", "h", "/c/").toBuilder().setPriority(2).addTargets(target("plain")))
+                .build());
+        assertTrue(table.hasPriorities("model"));
+        assertEquals(table.priorityRank("model", 5), 1);
+        assertFalse(table.hasPriorities("plain"));
+    }
+
+    private static WeightedService target(String service) {
+        return WeightedService.newBuilder().setService(service).setWeight(1).build();
+    }
+
     @Test
     public void weightsDetermineTheSelectedService() {
         ForwardRoute split = ForwardRoute.newBuilder()
