--- a/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/ForwardingRole.java
@@ -67,7 +67,7 @@
         this.loop = context.eventLoops().next();
         ForwardingAdapter adapter = adapter(settings.adapter());
         ForwardMetrics metrics = ForwardMetrics.create(context.registry());
-        Admission admission = Admission.create(config, context.random());
+        Admission admission = Admission.create(config, context.random(), settings.queueOrder());
         Locality locality = locality(settings.locality(), context, admission);
         BackendTable table = BackendTable.create(System::nanoTime, metrics, metrics, locality.links());
         BackendConnections connections = BackendConnections.create(loop, System::nanoTime, adapter.dialect());
--- a/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
+++ b/src/main/java/io/chivehollow/coordination/forwarding/flow/Admission.java
@@ -20,6 +20,7 @@
 import io.chivehollow.protocol.wire.ForwardRoute;
 import io.chivehollow.protocol.wire.ForwardService;
 import io.chivehollow.protocol.wire.TeamAccess;
+import io.chivehollow.settings.QueueOrder;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -55,18 +56,30 @@
 
     private final ConfigView config;
     private final RandomGenerator random;
+    private final QueueOrder queueOrder;
     private long tableVersion = -1;
     private @Nullable RouteTable table;
     private final Map<String, ServiceFigures> figures = new HashMap<>();
 
-    private Admission(ConfigView config, RandomGenerator random) {
+    private Admission(ConfigView config, RandomGenerator random, QueueOrder queueOrder) {
         this.config = config;
         this.random = random;
+        this.queueOrder = queueOrder;
     }
 
-    /** Returns an admission that uses the given configuration; the random generator selects services by weight. */
+    /** Returns an admission whose requests wait in the order of arrival; see the other method. */
     public static Admission create(ConfigView config, RandomGenerator random) {
-        return new Admission(config, random);
+        return create(config, random, QueueOrder.ARRIVAL);
+    }
+
+    /**
+     * Returns an admission that uses the given configuration.
+     *
+     * @param random selects services by weight
+     * @param queueOrder order in which the admitted requests wait for memory
+     */
+    public static Admission create(ConfigView config, RandomGenerator random, QueueOrder queueOrder) {
+        return new Admission(config, random, queueOrder);
     }
 
     /** Returns the routes in effect, or an empty value if no deployment has been received yet. */
@@ -157,10 +170,10 @@
         return Optional.of(admitted(routes.get(), route.get(), service, team.get()));
     }
 
-    private static AdmittedRequest admitted(
+    private AdmittedRequest admitted(
             RouteTable routes, ForwardRoute route, String service, @Nullable TeamAccess access) {
         int priority = priority(route, access);
-        Urgency urgency = routes.hasPriorities(service)
+        Urgency urgency = queueOrder == QueueOrder.URGENCY && routes.hasPriorities(service)
                 ? new Urgency(
                         routes.priorityRank(service, priority),
                         access == null ? NO_TEAM : access.getTeam(),
@@ -221,7 +234,7 @@
      * @param times times for which the service retains what the request has obtained
      * @param access the team; null on open routes
      * @param priority priority of the team or the route, 0 is the most urgent
-     * @param urgency urgency among the service's requests, or null if all of them have the same priority
+     * @param urgency urgency among the service's requests, or null if they wait in the order of arrival
      */
     record AdmittedRequest(
             long revision,
--- a/src/main/java/io/chivehollow/settings/ForwardingSettings.java
+++ b/src/main/java/io/chivehollow/settings/ForwardingSettings.java
@@ -26,6 +26,7 @@
  * @param shutdownMs longest time that a shutdown waits for open requests
  * @param locality settings for the choice between failure domains, or null if backend servers are selected without
  *     regard to their domain
+ * @param queueOrder order in which requests wait for memory
  */
 public record ForwardingSettings(
         String adapter,
@@ -43,4 +44,5 @@
         double retrySlack,
         double retryWindowSeconds,
         int shutdownMs,
-        @Nullable LocalitySettings locality) {}
+        @Nullable LocalitySettings locality,
+        QueueOrder queueOrder) {}
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -220,7 +220,8 @@
                 reader.number("retry_slack", DEFAULT_RETRY_SLACK, 0, 1e9),
                 reader.number("retry_window_s", DEFAULT_RETRY_WINDOW_S, 0.1, 3_600),
                 reader.wholeNumber("shutdown_ms", DEFAULT_FORWARDING_SHUTDOWN_MS, 0, 3_600_000),
-                readLocality(reader.optionalObject("locality")));
+                readLocality(reader.optionalObject("locality")),
+                reader.optionalChoice("queue_order", QueueOrder.ARRIVAL));
         reader.checkNoOtherFields();
         return settings;
     }
