--- a/src/test/java/io/chivehollow/cli/SettingsWatchTest.java
+++ b/src/test/java/io/chivehollow/cli/SettingsWatchTest.java
@@ -18,6 +18,7 @@
 import static org.testng.Assert.assertNull;
 
 /** Guards against a SIGHUP that ends the process, and against changed seeds that never take effect. */
+@Test(singleThreaded = true)
 public class SettingsWatchTest {
 
     private static String settings(String replicas) {
