--- a/src/test/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueueLoadTest.java
+++ b/src/test/java/io/chivehollow/coordination/forwarding/reserve/MemoryQueueLoadTest.java
@@ -47,9 +47,6 @@
     private final List<MemoryQueue> processes = new ArrayList<>();
     private final int[][] sent = new int[TARGETS_MS.length][TEAMS];
     private final int[][] served = new int[TARGETS_MS.length][TEAMS];
-    final int[] firstTry = new int[3];
-    static final boolean OLD = Boolean.getBoolean("old");
-    int grants;
     private Random random = new Random();
 
     /** One caller's request; it comes back at most once. */
@@ -57,9 +54,7 @@
 
     private void send(Caller caller, boolean isRetry) {
         long targetMs = TARGETS_MS[caller.rank];
-        long maxWaitMs = OLD
-                ? isRetry ? 1500 : targetMs * 45 / 100
-                : isRetry ? WaitLimits.lateMs(targetMs, GAP_MS) : WaitLimits.onTimeMs(targetMs, PREFILL_MS);
+        long maxWaitMs = isRetry ? WaitLimits.lateMs(targetMs, GAP_MS) : WaitLimits.onTimeMs(targetMs, PREFILL_MS);
         MemoryRequest request = new MemoryRequest(
                 SharedServers.SERVICE,
                 caller.tokens,
