Start also if the platform states no limits

Cause: the template of the settings had the limits of the machine as bare placeholders. Change: the limits are filled in as text, and text without a value counts as absent. A text that is no number is a fault as before; the test that gave "258" as such a fault gives "258 MB" now.

--- a/src/main/java/io/chivehollow/settings/ObjectReader.java
+++ b/src/main/java/io/chivehollow/settings/ObjectReader.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.net.InetAddresses;
+import com.google.common.primitives.Doubles;
 import io.chivehollow.base.JsonFields;
 import org.jspecify.annotations.Nullable;
 
@@ -91,6 +92,27 @@
         return value.doubleValue();
     }
 
+    /**
+     * Returns a number that a template may fill in as text. Empty text, and a placeholder that was not replaced, count
+     * as absent, so that a platform that does not know the value does not prevent the start.
+     */
+    double filledNumber(String field, double defaultValue, double min, double max) {
+        JsonNode value = get(field);
+        if (!value.isTextual()) {
+            return number(field, defaultValue, min, max);
+        }
+        String text = value.textValue().strip();
+        if (text.isEmpty() || text.startsWith("{{")) {
+            return defaultValue;
+        }
+        Double parsed = Doubles.tryParse(text);
+        if (parsed == null || !(parsed >= min && parsed <= max)) {
+            fault(field, value, "a number from " + min + " to " + max);
+            return defaultValue;
+        }
+        return parsed;
+    }
+
     <E extends Enum<E>> E optionalChoice(String field, E defaultValue) {
         return get(field).isMissingNode() ? defaultValue : choice(field, defaultValue.getDeclaringClass());
     }
--- a/src/main/java/io/chivehollow/settings/SettingsLoader.java
+++ b/src/main/java/io/chivehollow/settings/SettingsLoader.java
@@ -192,10 +192,10 @@
             return ProcessLimits.unknown();
         }
         ProcessLimits limits = new ProcessLimits(
-                reader.number("processor_share", 0, MIN_PROCESSOR_SHARE, MAX_PROCESSOR_SHARE),
-                reader.number("memory_mb", 0, MIN_MEMORY_MB, MAX_MEMORY_MB),
-                reader.wholeNumber("max_descriptors", 0, MIN_DESCRIPTORS, Integer.MAX_VALUE),
-                reader.number("link_mbps", 0, MIN_LINK_MBPS, MAX_LINK_MBPS));
+                reader.filledNumber("processor_share", 0, MIN_PROCESSOR_SHARE, MAX_PROCESSOR_SHARE),
+                reader.filledNumber("memory_mb", 0, MIN_MEMORY_MB, MAX_MEMORY_MB),
+                (int) reader.filledNumber("max_descriptors", 0, MIN_DESCRIPTORS, Integer.MAX_VALUE),
+                reader.filledNumber("link_mbps", 0, MIN_LINK_MBPS, MAX_LINK_MBPS));
         reader.checkNoOtherFields();
         return limits;
     }
@@ -230,7 +230,7 @@
         if (reader == null) {
             return null;
         }
-        double linkMegabits = reader.number("link_megabits_per_second", 0, 0, MAX_LINK_MEGABITS);
+        double linkMegabits = reader.filledNumber("link_megabits_per_second", 0, 0, MAX_LINK_MEGABITS);
         long defaultBytes = (long) (linkMegabits * BYTES_PER_MEGABIT * DEFAULT_CROSS_DOMAIN_LINK_SHARE);
         LocalitySettings settings = new LocalitySettings(
                 linkMegabits,
