--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -424,11 +424,11 @@
                 message.headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
             }
             if (message.headers.containsKey("content-length")) {
-                message.body = in.readNBytes(Integer.parseInt(message.headers.get("content-length")));
+                message.body = exactly(in, Integer.parseInt(message.headers.get("content-length")));
             } else if ("chunked".equals(message.headers.get("transfer-encoding"))) {
                 ByteArrayOutputStream all = new ByteArrayOutputStream();
                 for (int size = size(in); size > 0; size = size(in)) {
-                    all.write(in.readNBytes(size));
+                    all.write(exactly(in, size));
                     line(in);
                 }
                 line(in);
@@ -437,6 +437,14 @@
             return message;
         }
 
+        private static byte[] exactly(InputStream in, int size) throws IOException {
+            byte[] bytes = in.readNBytes(size);
+            if (bytes.length < size) {
+                throw new EOFException("connection closed within a body");
+            }
+            return bytes;
+        }
+
         private static int size(InputStream in) throws IOException {
             return Integer.parseInt(line(in), 16);
         }
