--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -47,6 +47,9 @@
     final int peer = freePort();
     final int metrics = freePort();
     volatile boolean isListUp = true;
+
+    /** Bytes of another writer among the entries of the list. */
+    volatile String foreignEntry = "";
     private int machineCount;
 
     Rig(Path caseFolder) throws IOException {
@@ -142,7 +145,7 @@
         if (!isListUp) {
             return;
         }
-        StringBuilder entries = new StringBuilder();
+        StringBuilder entries = new StringBuilder(foreignEntry);
         synchronized (runners) {
             for (Runner runner : runners) {
                 if (runner.isListed) {
@@ -190,6 +193,7 @@
         final Path data;
         Process process;
         boolean isBootstrap;
+        boolean hasDisk = true;
 
         Machine(String ip, String zone) {
             this.ip = ip;
@@ -232,6 +236,9 @@
             values.put("{{#bootstrap}}automatic{{/bootstrap}}{{^bootstrap}}automatic_later{{/bootstrap}}",
                     isBootstrap ? "automatic" : "automatic_later");
             String text = Files.readString(Path.of("deploy/edge.json"));
+            if (!hasDisk) {
+                text = text.replaceAll("(?s)\\{\\{#dataDir}}.*\\{\\{/dataDir}}", "");
+            }
             for (Map.Entry<String, String> value : values.entrySet()) {
                 text = text.replace(value.getKey(), value.getValue());
             }
@@ -347,19 +354,43 @@
         final ServerSocket server;
         final String address;
         final AtomicInteger running = new AtomicInteger();
+        final List<Socket> connections = Collections.synchronizedList(new ArrayList<>());
         volatile boolean isListed = true;
         volatile String state = "ready";
         volatile Function<Message, Integer> workMs = request -> 20;
 
         Runner(Rig rig, String id, String service, String zone) throws IOException {
+            this(rig, id, service, zone, 0);
+        }
+
+        /** Starts a runner at the port, or at a free one if it is 0. */
+        Runner(Rig rig, String id, String service, String zone, int port) throws IOException {
             this.rig = rig;
             this.id = id;
             this.service = service;
             this.zone = zone;
-            this.server = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
+            this.server = new ServerSocket();
+            server.setReuseAddress(true);
+            server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 256);
             this.address = "127.0.0.1:" + server.getLocalPort();
             rig.runners.add(this);
-            thread(() -> accept(server, this::serve));
+            thread(() -> accept(server, socket -> {
+                connections.add(socket);
+                serve(socket);
+            }));
+        }
+
+        /** Ends the runner with all its connections; its entry stays on the list. */
+        void crash() throws IOException {
+            server.close();
+            for (Socket socket : List.copyOf(connections)) {
+                socket.close();
+            }
+            rig.note("runner " + id + " at " + address + " has crashed");
+        }
+
+        int port() {
+            return server.getLocalPort();
         }
 
         String entry() {
