--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -2,7 +2,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -18,7 +17,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
@@ -46,7 +44,6 @@
     final int control = freePort();
     final int peer = freePort();
     final int metrics = freePort();
-    volatile boolean isListUp = true;
 
     /** Bytes of another writer among the entries of the list. */
     volatile String foreignEntry = "";
@@ -141,10 +138,7 @@
     // The platform's list.
 
     private void serveList(Socket socket) throws IOException {
-        Message request = Message.read(socket.getInputStream());
-        if (!isListUp) {
-            return;
-        }
+        Message.read(socket.getInputStream());
         StringBuilder entries = new StringBuilder(foreignEntry);
         synchronized (runners) {
             for (Runner runner : runners) {
@@ -193,7 +187,6 @@
         final Path data;
         Process process;
         boolean isBootstrap;
-        boolean hasDisk = true;
 
         Machine(String ip, String zone) {
             this.ip = ip;
@@ -236,9 +229,6 @@
             values.put("{{#bootstrap}}automatic{{/bootstrap}}{{^bootstrap}}automatic_later{{/bootstrap}}",
                     isBootstrap ? "automatic" : "automatic_later");
             String text = Files.readString(Path.of("deploy/edge.json"));
-            if (!hasDisk) {
-                text = text.replaceAll("(?s)\\{\\{#dataDir}}.*\\{\\{/dataDir}}", "");
-            }
             for (Map.Entry<String, String> value : values.entrySet()) {
                 text = text.replace(value.getKey(), value.getValue());
             }
@@ -269,7 +259,8 @@
 
         void signal(String name) throws IOException {
             try {
-                new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+                // The shell's own command; a machine may have no program of this name.
+                new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
             } catch (InterruptedException e) {
                 throw new IllegalStateException(e);
             }
