Log the replica group, its leader and elections without a result

New lines: the voters and learners whenever they change, the leader, an election that found no quorum with the votes it got and lacked, a leader that steps down, and a voter that returned with another data folder but cannot be admitted. New gauges: replica_voters, replica_silent_voters.

--- a/src/main/java/io/chivehollow/metrics/ReplicaMetrics.java
+++ b/src/main/java/io/chivehollow/metrics/ReplicaMetrics.java
@@ -20,6 +20,9 @@
     private static final List<String> ROLES = List.of("learner", "follower", "pre_candidate", "candidate", "leader");
     private static final int SAMPLES_PER_HISTOGRAM = 128;
 
+    /** Time without a reply after which a voter is counted as silent; several heartbeats are missing then. */
+    private static final long SILENCE_MS = 1_000;
+
     /** The library's default, which gives the values of the last 5 minutes the most weight. */
     private static final double DECAY_FACTOR = 0.015;
 
@@ -63,6 +66,15 @@
         for (String role : ROLES) {
             set(MetricNames.withLabel("replica.role", "role", role), role.equals(status.role()) ? 1 : 0);
         }
+        List<ReplicatedLog.MemberStatus> voters = status.members().stream()
+                .filter(ReplicatedLog.MemberStatus::isVoter)
+                .toList();
+        set("replica.voters", voters.size());
+        set(
+                "replica.silent_voters",
+                voters.stream()
+                        .filter(voter -> voter.sinceLastReplyMs() > SILENCE_MS)
+                        .count());
     }
 
     /** Records that the disk has refused a write and that the replica is stopped until it is reopened. */
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusMember.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusMember.java
@@ -56,6 +56,7 @@
     private final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>(MAX_QUEUED_INPUTS);
     private final AtomicLong queuedMessageBytes = new AtomicLong();
     private final AtomicLong proposedBytes = new AtomicLong();
+    private final MemberLog memberLog = new MemberLog();
     private final Thread thread;
     private volatile boolean isClosing;
     private volatile boolean isClosed;
@@ -184,6 +185,7 @@
                     isClosed = driver.transferLeadership() || isLate;
                 }
                 driver.flush();
+                memberLog.update(driver.view());
             }
         } catch (InterruptedException e) {
             LOG.debugf("Member %s was interrupted and stops", config.self());
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -69,6 +70,9 @@
     /** Members of a new group that this member tries to form while its log is empty, or null. */
     private @Nullable Members bootstrapMembers;
 
+    /** Last instance whose request to join was logged because it could not be admitted. */
+    private @Nullable MemberId loggedUnadmitted;
+
     private long firstUnwrittenIndex;
     private long syncedIndex;
     private long commitIndex;
@@ -120,6 +124,9 @@
         if (termState.hasRole(Role.LEADER)) {
             leaderState.renewLease(members(), now);
             if (leaderState.hasLostQuorum(members(), now)) {
+                LOG.warnf(
+                        "No quorum of %s has replied; stepping down in term %d",
+                        members().voters(), term());
                 stepDown(now);
             } else {
                 promoteLearner(now);
@@ -637,10 +644,24 @@
                 return;
             }
             reply.setNonce(leaderState.issuedNonce(from));
+        } else {
+            logUnadmitted(from);
         }
         outbox.sendBeforeSync(from, header().setJoinReply(reply));
     }
 
+    private void logUnadmitted(MemberId from) {
+        boolean isReplacedVoter = members().voters().stream()
+                .anyMatch(voter -> voter.instance().equals(from.instance()) && !voter.equals(from));
+        if (isReplacedVoter && !from.equals(loggedUnadmitted)) {
+            loggedUnadmitted = from;
+            LOG.warnf(
+                    "Voter %s has returned with another data folder and needs a leader that admits it, but this member"
+                            + " is a %s that follows %s",
+                    from, role().name().toLowerCase(Locale.ROOT), termState.leader());
+        }
+    }
+
     private PeerMessage.Builder header() {
         return outbox.header(termState.term());
     }
--- a/src/main/java/io/chivehollow/state/consensus/Elections.java
+++ b/src/main/java/io/chivehollow/state/consensus/Elections.java
@@ -7,6 +7,7 @@
 import io.chivehollow.state.consensus.ConsensusNode.Role;
 import io.chivehollow.state.consensus.wire.VoteReply;
 import io.chivehollow.state.consensus.wire.VoteRequest;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,6 +18,8 @@
  */
 final class Elections {
 
+    private static final Logger LOG = Logger.getLogger(Elections.class);
+
     private final NodeConfig config;
     private final MemberId self;
     private final InMemoryLog log;
@@ -26,6 +29,9 @@
     private final MemberCallbacks callbacks;
     private final Set<MemberId> grantedVotes = new HashSet<>();
 
+    /** Votes of the last unsuccessful election that was logged. */
+    private Set<MemberId> loggedVotes = Set.of();
+
     Elections(
             NodeConfig config,
             MemberId self,
@@ -45,12 +51,32 @@
 
     /** Starts a pre-vote, which checks whether an election could succeed without incrementing the term. */
     void startPreVote(long now) {
+        if (state.hasRole(Role.PRE_CANDIDATE) || state.hasRole(Role.CANDIDATE)) {
+            logUnsuccessful();
+        }
         state.setRole(Role.PRE_CANDIDATE, null);
         grantedVotes.clear();
         requestVotes(state.term() + 1, true, false);
         countVote(self, now);
     }
 
+    private void logUnsuccessful() {
+        if (grantedVotes.equals(loggedVotes)) {
+            return;
+        }
+        loggedVotes = Set.copyOf(grantedVotes);
+        Members members = callbacks.members();
+        LOG.warnf(
+                "No leader is elected after term %d: %d of %d votes are needed, granted by %s, not granted by %s",
+                state.term(),
+                members.quorum(),
+                members.voters().size(),
+                loggedVotes,
+                members.voters().stream()
+                        .filter(voter -> !grantedVotes.contains(voter))
+                        .toList());
+    }
+
     void onLeadershipTransfer(MemberId from, long leaderTerm, long now) {
         boolean isFromLeader = leaderTerm == state.term() && from.instance().equals(state.leader());
         if (isFromLeader && state.hasRole(Role.FOLLOWER) && callbacks.members().isVoter(self)) {
--- a/src/main/java/io/chivehollow/state/consensus/MemberView.java
+++ b/src/main/java/io/chivehollow/state/consensus/MemberView.java
@@ -9,6 +9,7 @@
 import io.chivehollow.base.InstanceId;
 import io.chivehollow.state.consensus.ReplicatedLog.MemberStatus;
 import io.chivehollow.state.consensus.ReplicatedLog.Status;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A view of a member's state for other threads.
@@ -16,13 +17,13 @@
  * <p>Immutable and thread-safe.
  *
  * @param status status of the member
- * @param members instances of the group as of the member's last log entry; empty if it has no membership
+ * @param group the group as of the member's last log entry, or null if it has no membership
  * @param leaseUntilNanos end of the leader lease, or {@link ReplicationProgress#NEVER}
  * @param leaseStartNanos start of the leader lease, or {@link ReplicationProgress#NEVER}
  * @param freshAsOfNanos time up to which the applied state contains all commits, or {@link ReplicationProgress#NEVER}
  */
 record MemberView(
-        Status status, List<InstanceId> members, long leaseUntilNanos, long leaseStartNanos, long freshAsOfNanos) {
+        Status status, @Nullable Members group, long leaseUntilNanos, long leaseStartNanos, long freshAsOfNanos) {
 
     static MemberView of(ConsensusNode node, NodeConfig config, long now) {
         LeaderState leaderState = node.leaderState();
@@ -54,18 +55,21 @@
                 node.logBytes(),
                 List.copyOf(members),
                 admitted);
-        Members latest = node.latestMembers();
-        List<InstanceId> instances = latest == null
-                ? List.of()
-                : latest.all().stream().map(MemberId::instance).toList();
         return new MemberView(
                 status,
-                instances,
+                node.latestMembers(),
                 leaseUntilNanos,
                 leaderState == null ? ReplicationProgress.NEVER : leaderState.leaseStartNanos(),
                 node.freshnessTracker().freshAsOfNanos());
     }
 
+    /** Returns the instances of the group; empty if the member has no membership. */
+    List<InstanceId> members() {
+        return group == null
+                ? List.of()
+                : group.all().stream().map(MemberId::instance).toList();
+    }
+
     boolean holdsLease(long now) {
         return now < leaseUntilNanos;
     }
