Keep the number of voters with which the system was first started

Cause: a voter without a reply for 5 s was removed as long as as many remained as formed the group, that is three, however many founders had joined it since. While two of five machines were down the group shrank to three voters and committed with two of them, so that two lost disks, which such a deployment has to bear, could take acknowledged commands along, and the group had no leader any more.

Change: the membership holds the number of voters of the first start. Founders say in their request to join that they start with the whole system, and count once they vote; later instances are surplus, and only then a voter is removed without an operator. The removal by an operator lowers the number.

A stored membership without the field counts as before.

--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -586,13 +586,16 @@
         }
     }
 
-    /**
-     * Removes one voter that has not replied within the removal timeout, provided that there are more voters than
-     * initial members, so that a replacement already votes.
-     */
+    /** Returns whether there are more voters than when the group was formed, so that replacements already vote. */
+    private boolean hasSurplusVoter() {
+        int minVoters = members().minVoters();
+        return members().voters().size()
+                > (minVoters > 0 ? minVoters : config.initialMembers().size());
+    }
+
+    /** Removes one voter that has not replied within the removal timeout, if the group has a surplus voter. */
     private void removeUnresponsiveVoter(long now) {
-        if (!canChangeMembers()
-                || members().voters().size() <= config.initialMembers().size()) {
+        if (!canChangeMembers() || !hasSurplusVoter()) {
             return;
         }
         for (MemberId voter : members().voters()) {
@@ -640,7 +643,7 @@
             // A delayed message of an earlier incarnation must not replace the current one, so the sender first has to
             // return a nonce.
             if (leaderState.confirmOrIssueNonce(from, join.getNonce(), random.nextLong() | 1)) {
-                appendMembership(members().withLearner(from), now);
+                appendMembership(members().withLearner(from, join.getFounder()), now);
                 return;
             }
             reply.setNonce(leaderState.issuedNonce(from));
--- a/src/main/java/io/chivehollow/state/consensus/JoinProtocol.java
+++ b/src/main/java/io/chivehollow/state/consensus/JoinProtocol.java
@@ -69,7 +69,11 @@
     }
 
     Join newRequest(boolean isEmpty) {
-        return Join.newBuilder().setEmpty(isEmpty).setNonce(nonce).build();
+        return Join.newBuilder()
+                .setEmpty(isEmpty)
+                .setNonce(nonce)
+                .setFounder(isEmpty && config.policy().canFormGroup())
+                .build();
     }
 
     void onReply(MemberId from, JoinReply reply) {
--- a/src/main/java/io/chivehollow/state/consensus/Members.java
+++ b/src/main/java/io/chivehollow/state/consensus/Members.java
@@ -22,9 +22,17 @@
  * @param learners members that receive the log but do not vote
  * @param admitted instance that may join but has not joined yet
  * @param removed instances that were removed most recently, oldest first; used to recognize a retried removal
+ * @param minVoters number of voters below which no voter is removed without an operator, so that the group tolerates as
+ *     many losses as when it was formed; 0 if the membership was stored by a version without this field
+ * @param foundingLearners learners that count towards {@code minVoters} once they vote
  */
 record Members(
-        List<MemberId> voters, List<MemberId> learners, Optional<InstanceId> admitted, List<InstanceId> removed) {
+        List<MemberId> voters,
+        List<MemberId> learners,
+        Optional<InstanceId> admitted,
+        List<InstanceId> removed,
+        int minVoters,
+        List<InstanceId> foundingLearners) {
 
     /** Exceeds the number of changes that operators make while one of them still retries after a lost response. */
     private static final int MAX_REMOVED = 16;
@@ -33,10 +41,12 @@
         voters = List.copyOf(voters);
         learners = List.copyOf(learners);
         removed = List.copyOf(removed);
+        foundingLearners = List.copyOf(foundingLearners);
     }
 
+    /** Returns the members of a new group. */
     static Members ofVoters(List<MemberId> voters) {
-        return new Members(voters, List.of(), Optional.empty(), List.of());
+        return new Members(voters, List.of(), Optional.empty(), List.of(), voters.size(), List.of());
     }
 
     int quorum() {
@@ -69,7 +79,8 @@
 
     /** Returns these members with the instance as the admitted one, which may join. */
     Members withAdmitted(InstanceId instance) {
-        return new Members(voters, learners, Optional.of(instance), withoutRemoved(instance));
+        return new Members(
+                voters, learners, Optional.of(instance), withoutRemoved(instance), minVoters, foundingLearners);
     }
 
     /** Returns these members with the instance neither a member nor admitted, but listed as removed. */
@@ -81,7 +92,9 @@
                 rest.voters,
                 rest.learners,
                 admitted.filter(other -> !other.equals(instance)),
-                more.subList(Math.max(0, more.size() - MAX_REMOVED), more.size()));
+                more.subList(Math.max(0, more.size() - MAX_REMOVED), more.size()),
+                Math.min(minVoters, rest.voters.size()),
+                rest.foundingLearners);
     }
 
     private List<InstanceId> withoutRemoved(InstanceId instance) {
@@ -89,16 +102,37 @@
     }
 
     private Members without(InstanceId instance) {
-        return new Members(filter(voters, instance), filter(learners, instance), admitted, removed);
-    }
-
-    /** Returns these members with the member as a learner; it replaces any other incarnation of its instance. */
-    Members withLearner(MemberId member) {
+        return new Members(
+                filter(voters, instance),
+                filter(learners, instance),
+                admitted,
+                removed,
+                minVoters,
+                foundingLearners.stream()
+                        .filter(other -> !other.equals(instance))
+                        .toList());
+    }
+
+    /**
+     * Returns these members with the member as a learner; it replaces any other incarnation of its instance.
+     *
+     * @param isFounder whether the member joins at the first start of the system
+     */
+    Members withLearner(MemberId member, boolean isFounder) {
         Members rest = without(member.instance());
         List<MemberId> more = new ArrayList<>(rest.learners);
         more.add(member);
+        List<InstanceId> founding = new ArrayList<>(rest.foundingLearners);
+        if (isFounder) {
+            founding.add(member.instance());
+        }
         return new Members(
-                rest.voters, more, admitted.filter(instance -> !instance.equals(member.instance())), removed);
+                rest.voters,
+                more,
+                admitted.filter(instance -> !instance.equals(member.instance())),
+                removed,
+                minVoters,
+                founding);
     }
 
     /** Returns these members with the member as a voter. */
@@ -106,7 +140,9 @@
         Members rest = without(member.instance());
         List<MemberId> more = new ArrayList<>(rest.voters);
         more.add(member);
-        return new Members(more, rest.learners, admitted, removed);
+        boolean isFounder = foundingLearners.contains(member.instance());
+        return new Members(
+                more, rest.learners, admitted, removed, isFounder ? minVoters + 1 : minVoters, rest.foundingLearners);
     }
 
     private static List<MemberId> filter(List<MemberId> members, InstanceId instance) {
@@ -121,6 +157,8 @@
         learners.forEach(member -> wire.addItems(item(member, false)));
         admitted.ifPresent(instance -> wire.setAdmitted(instance.value()));
         removed.forEach(instance -> wire.addRemoved(instance.value()));
+        wire.setMinVoters(minVoters);
+        foundingLearners.forEach(instance -> wire.addFoundingLearners(instance.value()));
         return wire.build();
     }
 
@@ -141,7 +179,9 @@
                 voters,
                 learners,
                 admitted,
-                wire.getRemovedList().stream().map(InstanceId::of).toList());
+                wire.getRemovedList().stream().map(InstanceId::of).toList(),
+                wire.getMinVoters(),
+                wire.getFoundingLearnersList().stream().map(InstanceId::of).toList());
     }
 
     static Members decode(byte[] encoded) {
--- a/src/main/java/io/chivehollow/state/consensus/MembershipPolicy.java
+++ b/src/main/java/io/chivehollow/state/consensus/MembershipPolicy.java
@@ -14,7 +14,7 @@
  * @param canFormGroup whether this member may form a new group with the other initial members
  * @param admitsAnyInstance whether any authenticated instance may join without an operator
  * @param removalTimeoutNanos time without a reply after which a voter is removed, provided that at least as many voters
- *     remain as there are initial members
+ *     remain as there were when the system was first started
  * @param contacts further instances to which a member sends its join requests
  */
 public record MembershipPolicy(
--- a/src/test/java/io/chivehollow/state/consensus/AutomaticMembershipTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/AutomaticMembershipTest.java
@@ -75,6 +75,37 @@
         assertEquals(voters(simulation).size(), 3);
     }
 
+    /**
+     * A group that was formed by five instances must not shrink while two of them are down, because two of the other
+     * three may then lose their disks: without this limit, the commands that only these two have stored are lost.
+     */
+    @Test(dataProvider = "seeds")
+    public void groupKeepsTheSizeWithWhichItWasFormed(long seed) {
+        Simulation simulation = Simulation.withAutomaticMembership(seed, 3, 5, 5);
+        for (int i = 0; voters(simulation).size() < 5; i++) {
+            assertTrue(i < 100, "Not all founders are voters");
+            simulation.run(100);
+        }
+        simulation.commit(10);
+        simulation.crash(3);
+        simulation.crash(4);
+        simulation.run(3 * REMOVAL_MS);
+        assertEquals(voters(simulation).size(), 5);
+        SimMember leader = simulation.leader().orElseThrow();
+        int separated = (leader.number + 1) % 3;
+        int other = (leader.number + 2) % 3;
+        for (int number = 0; number < 3; number++) {
+            simulation.setBlocked(number, separated, true);
+        }
+        for (int i = 0; i < 20; i++) {
+            simulation.propose(leader);
+            simulation.run(20);
+        }
+        simulation.loseDisk(leader.number);
+        simulation.loseDisk(other);
+        simulation.recoverAndVerify();
+    }
+
     /** An instance that may not form a group must not elect itself while all members of the group are down. */
     @Test(dataProvider = "seeds")
     public void instanceBarredFromFormingGroupElectsNoLeader(long seed) {
--- a/src/test/java/io/chivehollow/state/consensus/Simulation.java
+++ b/src/test/java/io/chivehollow/state/consensus/Simulation.java
@@ -59,14 +59,22 @@
 
     /** Returns a group of the first members, which the others join without an operator when they are started. */
     static Simulation withAutomaticMembership(long seed, int initialSize, int size) {
+        return withAutomaticMembership(seed, initialSize, initialSize, size);
+    }
+
+    /**
+     * Returns a group that the initial members form and the other founders join, all started at once; the rest of the
+     * members join it without an operator when they are started.
+     */
+    static Simulation withAutomaticMembership(long seed, int initialSize, int founders, int size) {
         Simulation simulation = new Simulation(seed, size, Set.of());
         simulation.events.clear();
         simulation.initialSize = initialSize;
         for (SimMember member : simulation.members) {
             simulation.loseDisk(member.number);
-            boolean isInitial = member.number < initialSize;
-            member.setPolicy(MembershipPolicy.automatic(isInitial, List::of));
-            if (isInitial) {
+            boolean isFounder = member.number < founders;
+            member.setPolicy(MembershipPolicy.automatic(isFounder, List::of));
+            if (isFounder) {
                 simulation.start(member);
             }
         }
