Count only voters that have replied as responsive at a new leader

A leader began each term with the time of its election as the last reply of every voter, so that for 750 ms voters that are gone counted as responsive, and the removal of one of the last two running voters of three was accepted: no leader any more, for good.

--- a/src/main/java/io/chivehollow/state/consensus/LeaderState.java
+++ b/src/main/java/io/chivehollow/state/consensus/LeaderState.java
@@ -92,7 +92,7 @@
     }
 
     void onAppendReply(ReplicationProgress progress, AppendReply reply, Members members, long now) {
-        progress.lastReplyNanos = now;
+        progress.onReply(now);
         progress.followerTiming = reply.getTiming();
         progress.newestAckedSendNanos =
                 Math.max(progress.newestAckedSendNanos, reply.getTiming().getLeaderSentNanos());
--- a/src/main/java/io/chivehollow/state/consensus/ReplicationProgress.java
+++ b/src/main/java/io/chivehollow/state/consensus/ReplicationProgress.java
@@ -22,7 +22,10 @@
     /** Send time of the newest message that the member has acknowledged, on the leader's clock. */
     long newestAckedSendNanos = NEVER;
 
+    /** Time of the last reply, or before the first one the time from which on the leader waits for it. */
     long lastReplyNanos = NEVER;
+
+    private boolean hasReplied;
     long lastSentNanos = NEVER;
     long snapshotSentNanos = NEVER;
 
@@ -50,8 +53,14 @@
         this.lastReplyNanos = now;
     }
 
+    /** Returns whether the member has replied to this leader within the duration of a lease. */
     boolean isResponsive(long now, ConsensusTimes times) {
-        return now - lastReplyNanos < TimeUnit.MILLISECONDS.toNanos(times.leaseMs());
+        return hasReplied && now - lastReplyNanos < TimeUnit.MILLISECONDS.toNanos(times.leaseMs());
+    }
+
+    void onReply(long now) {
+        hasReplied = true;
+        lastReplyNanos = now;
     }
 
     void onAccepted(long index) {
--- a/src/test/java/io/chivehollow/state/consensus/MembershipChangeTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/MembershipChangeTest.java
@@ -264,4 +264,20 @@
         }
         simulation.recoverAndVerify();
     }
+
+    /** A leader that has just been elected must not count voters as responsive that have never replied to it. */
+    @Test(dataProvider = "seeds")
+    public void newLeaderRefusesRemovalThatLeavesOnlySilentVoters(long seed) {
+        Simulation simulation = start(seed, 3, Set.of());
+        SimMember first = leader(simulation);
+        simulation.crash((first.number + 1) % 3);
+        simulation.run(UNRESPONSIVE_MS);
+        first.input(MemberDriver::transferLeadership);
+        for (int i = 0; !simulation.member((first.number + 2) % 3).holdsLease(); i++) {
+            assertTrue(i < 1_000, "The leadership is not transferred");
+            simulation.run(5);
+        }
+        assertEquals(code(change(simulation, driver -> driver.remove(first.instance))), ErrorCode.QUORUM_AT_RISK);
+        simulation.commit(3);
+    }
 }
