Remove a silent voter as soon as its replacement votes

Change: a surplus voter (more voters than at the first start) is removed after the vote hold time without a reply, the one that has been silent longest first. That is before a leader without a quorum steps down, so a leader of four voters also goes on when two of the others are lost at the same moment. The number of voters never falls below that of the first start, so a false alarm costs one join. A founder that comes back with an empty disk is not counted twice.

--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -1,10 +1,12 @@
 package io.chivehollow.state.consensus;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import io.chivehollow.base.InstanceId;
@@ -130,7 +132,7 @@
                 stepDown(now);
             } else {
                 promoteLearner(now);
-                removeUnresponsiveVoter(now);
+                removeSilentVoter(now);
             }
             return;
         }
@@ -593,29 +595,31 @@
                 > (minVoters > 0 ? minVoters : config.initialMembers().size());
     }
 
-    /** Removes one voter that has not replied within the removal timeout, if the group has a surplus voter. */
-    private void removeUnresponsiveVoter(long now) {
-        if (!canChangeMembers() || !hasSurplusVoter()) {
+    /**
+     * Removes the voter that has been silent longest, if the group has a surplus voter.
+     *
+     * <p>A voter is silent if it has not replied for the vote hold time. That is less than the time after which a leader
+     * without a quorum steps down, so that a leader of four voters goes on when two of the others are lost at once.
+     */
+    private void removeSilentVoter(long now) {
+        if (!config.policy().isAutomatic() || !canChangeMembers() || !hasSurplusVoter()) {
             return;
         }
-        for (MemberId voter : members().voters()) {
-            ReplicationProgress progress = leaderState.find(voter);
-            boolean isUnresponsive = progress != null
-                    && now - progress.lastReplyNanos > config.policy().removalTimeoutNanos();
-            if (isUnresponsive) {
-                Members next = members().withRemoved(voter.instance());
-                long responsive = next.voters().stream()
-                        .filter(other -> isResponsive(other, now))
-                        .count();
-                if (responsive >= next.quorum()) {
-                    LOG.infof(
-                            "Voter %s has not replied within the removal timeout; removing it from the group",
-                            voter.instance());
-                    appendMembership(next, now);
-                    return;
-                }
-            }
-        }
+        long silentSinceNanos = now - TimeUnit.MILLISECONDS.toNanos(times.voteHoldMs());
+        members().voters().stream()
+                .map(leaderState::find)
+                .filter(progress -> progress != null && progress.lastReplyNanos < silentSinceNanos)
+                .min(Comparator.comparingLong(progress -> progress.lastReplyNanos))
+                .map(progress -> progress.member)
+                .filter(voter -> hasResponsiveQuorum(members().withRemoved(voter.instance()), now))
+                .ifPresent(voter -> {
+                    LOG.infof("Voter %s does not reply and the group has a surplus voter; removing it", voter);
+                    appendMembership(members().withRemoved(voter.instance()), now);
+                });
+    }
+
+    private boolean hasResponsiveQuorum(Members next, long now) {
+        return next.voters().stream().filter(voter -> isResponsive(voter, now)).count() >= next.quorum();
     }
 
     private void sendJoin(long now) {
--- a/src/main/java/io/chivehollow/state/consensus/JoinProtocol.java
+++ b/src/main/java/io/chivehollow/state/consensus/JoinProtocol.java
@@ -47,7 +47,7 @@
         }
         return members.find(from.instance())
                 .map(member -> !member.equals(from))
-                .orElse(config.policy().admitsAnyInstance() || members.isAdmitted(from.instance()));
+                .orElse(config.policy().isAutomatic() || members.isAdmitted(from.instance()));
     }
 
     /** Returns whether a join request is due and, if so, records the current time as its send time. */
--- a/src/main/java/io/chivehollow/state/consensus/Members.java
+++ b/src/main/java/io/chivehollow/state/consensus/Members.java
@@ -116,14 +116,16 @@
     /**
      * Returns these members with the member as a learner; it replaces any other incarnation of its instance.
      *
-     * @param isFounder whether the member joins at the first start of the system
+     * @param isFounder whether the member states that it joins at the first start of the system
      */
     Members withLearner(MemberId member, boolean isFounder) {
         Members rest = without(member.instance());
         List<MemberId> more = new ArrayList<>(rest.learners);
         more.add(member);
         List<InstanceId> founding = new ArrayList<>(rest.foundingLearners);
-        if (isFounder) {
+        // A founder that returns with an empty disk has been counted before.
+        boolean isKnown = find(member.instance()).isPresent() || removed.contains(member.instance());
+        if (isFounder && !isKnown) {
             founding.add(member.instance());
         }
         return new Members(
