A replica that stops tells the group, which goes on without it if it can

Change: a process that begins to stop says so in its replies to the leader; a leader hands over to a voter that remains. The leader makes a surplus voter a learner, which still receives the log while open requests finish, and removes it once it is silent. Without a surplus voter nothing changes, so that a restart needs no membership change. The changes that need no operator are in a class of their own now, AutomaticChanges.

--- a/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
+++ b/src/main/java/io/chivehollow/runtime/ChivehollowProcess.java
@@ -296,6 +296,10 @@
     @Override
     public void close() {
         isRunning = false;
+        ReplicaRole role = replicaRole;
+        if (role != null) {
+            role.beginLeaving();
+        }
         while (!components.isEmpty()) {
             AutoCloseable component = components.pop();
             try {
--- a/src/main/java/io/chivehollow/runtime/ReplicaRole.java
+++ b/src/main/java/io/chivehollow/runtime/ReplicaRole.java
@@ -296,11 +296,23 @@
         Runtime.getRuntime().halt(STORAGE_FAILURE_EXIT_CODE);
     }
 
+    /** States to the group that the process is about to stop, before the other roles finish their open requests. */
+    void beginLeaving() {
+        RunningReplica current = available();
+        if (current != null) {
+            current.beginLeaving();
+        }
+    }
+
     @Override
     public void close() {
         closing.countDown();
         closed.complete(null);
         metricsTimer.cancel();
+        RunningReplica leaving = available();
+        if (leaving != null) {
+            leaving.awaitLeft();
+        }
         FrameServer current = server;
         if (current != null) {
             current.close();
--- a/src/main/java/io/chivehollow/runtime/RunningReplica.java
+++ b/src/main/java/io/chivehollow/runtime/RunningReplica.java
@@ -64,6 +64,16 @@
         return service.onCall(call, first);
     }
 
+    /** States to the group that this replica is about to stop; it still serves. */
+    void beginLeaving() {
+        member.beginLeaving();
+    }
+
+    /** Waits until the group can do without this replica as far as possible; the replica must still get messages. */
+    void awaitLeft() {
+        member.awaitLeft();
+    }
+
     /** Stops the service and the member; returns when the data folder is released. */
     @Override
     public void close() {
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusMember.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusMember.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -48,6 +49,9 @@
     /** Maximum time that {@link #close} waits for a voter that can take over the leadership. */
     private static final long TRANSFER_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Maximum time that {@link #awaitLeft} waits. */
+    private static final int LEAVE_WAIT_MS = 500;
+
     private static final Logger LOG = Logger.getLogger(ConsensusMember.class);
 
     private final ReplicatedLogConfig config;
@@ -57,7 +61,9 @@
     private final AtomicLong queuedMessageBytes = new AtomicLong();
     private final AtomicLong proposedBytes = new AtomicLong();
     private final MemberLog memberLog = new MemberLog();
+    private final CountDownLatch left = new CountDownLatch(1);
     private final Thread thread;
+    private volatile boolean isLeaving;
     private volatile boolean isClosing;
     private volatile boolean isClosed;
     private volatile long closeStartNanos;
@@ -180,6 +186,9 @@
                 inputs.drainTo(batch, MAX_BATCH_INPUTS);
                 handle(batch);
                 batch.clear();
+                if (isLeaving && driver.leave()) {
+                    left.countDown();
+                }
                 if (isClosing) {
                     boolean isLate = clock.nanoTime() - closeStartNanos > TRANSFER_WAIT_NANOS;
                     isClosed = driver.transferLeadership() || isLate;
@@ -196,6 +205,7 @@
             config.onFatal().accept(e);
         } finally {
             isClosed = true;
+            left.countDown();
             timer.cancel();
             failInputs(
                     batch,
@@ -236,6 +246,27 @@
         }
     }
 
+    /**
+     * States to the group that this member is about to stop. A leader transfers its leadership. A surplus voter of a
+     * group with automatic membership becomes a learner, which still receives the log.
+     */
+    public void beginLeaving() {
+        isLeaving = true;
+        inputs.offer(member -> {});
+    }
+
+    /** Waits, at most 500 ms, until the group can do without this member as far as possible. */
+    public void awaitLeft() {
+        beginLeaving();
+        try {
+            if (!left.await(LEAVE_WAIT_MS, TimeUnit.MILLISECONDS)) {
+                LOG.warnf("Member %s stops although the group may still depend on it", config.self());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Stops this member. A leader first tries to transfer its leadership to another voter. */
     @Override
     public void close() {
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -1,12 +1,11 @@
 package io.chivehollow.state.consensus;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import io.chivehollow.base.InstanceId;
@@ -42,12 +41,6 @@
 
     private static final Logger LOG = Logger.getLogger(ConsensusNode.class);
 
-    /**
-     * Maximum number of entries that a learner may lack when it becomes a voter. It receives that many entries in one
-     * message.
-     */
-    private static final long MAX_PROMOTION_LAG = 64;
-
     private final NodeConfig config;
     private final ConsensusTimes times;
     private final MemberId self;
@@ -75,6 +68,9 @@
     /** Last instance whose request to join was logged because it could not be admitted. */
     private @Nullable MemberId loggedUnadmitted;
 
+    /** Whether this member is about to stop. */
+    private boolean isLeaving;
+
     private long firstUnwrittenIndex;
     private long syncedIndex;
     private long commitIndex;
@@ -131,8 +127,7 @@
                         members().voters(), term());
                 stepDown(now);
             } else {
-                promoteLearner(now);
-                removeSilentVoter(now);
+                changeMembersAutomatically(now);
             }
             return;
         }
@@ -171,7 +166,7 @@
         Members next = MembershipChanges.remove(
                 members(),
                 instance,
-                voter -> !config.isEnabled(ConsensusSafeguard.REMOVAL_CHECK) || isResponsive(voter, now));
+                voter -> !config.isEnabled(ConsensusSafeguard.REMOVAL_CHECK) || leaderState.isResponsive(voter, now));
         if (instance.equals(self.instance()) && next != members()) {
             throw MembershipChanges.leaderRemovalRefusal(transferLeadership(now));
         }
@@ -188,11 +183,6 @@
         return log.membershipIndex();
     }
 
-    private boolean isResponsive(MemberId member, long now) {
-        ReplicationProgress progress = leaderState.find(member);
-        return member.equals(self) || (progress != null && progress.isResponsive(now, times));
-    }
-
     /**
      * Transfers the leadership to a responsive voter that has all entries.
      *
@@ -200,12 +190,19 @@
      * because this member is not the leader or is the only voter.
      */
     boolean transferLeadership(long now) {
+        return transferLeadership(now, progress -> true);
+    }
+
+    private boolean transferLeadership(long now, Predicate<ReplicationProgress> isEligible) {
         if (!termState.hasRole(Role.LEADER) || members().voters().size() == 1) {
             return true;
         }
         for (MemberId voter : members().voters()) {
             ReplicationProgress progress = leaderState.find(voter);
-            if (progress != null && progress.matchIndex == log.lastIndex() && progress.isResponsive(now, times)) {
+            if (progress != null
+                    && progress.matchIndex == log.lastIndex()
+                    && progress.isResponsive(now, times)
+                    && isEligible.test(progress)) {
                 stepDown(now);
                 // Sent after the sync, when the caller has published that the lease has ended.
                 outbox.sendAfterSync(voter, header().setTransfer(Transfer.getDefaultInstance()));
@@ -215,6 +212,23 @@
         return false;
     }
 
+    /**
+     * States to the leader that this member is about to stop, and returns whether it may stop without harm to the
+     * group: as a learner, or as a voter that the group needs and that may return.
+     *
+     * <p>A leader transfers its leadership to a voter that remains. If the group has a surplus voter, the leader makes
+     * this member a learner, so that the group does not wait for it after its end; until then it still receives the log.
+     */
+    boolean leave(long now) {
+        isLeaving = true;
+        if (termState.hasRole(Role.LEADER)) {
+            transferLeadership(now, progress -> !progress.isLeaving);
+            return members().voters().size() == 1;
+        }
+        boolean isGroupStable = members().learners().isEmpty() && !AutomaticChanges.hasSurplusVoter(members(), config);
+        return log.membershipIndex() <= commitIndex && (!config.policy().isAutomatic() || !isVoter() || isGroupStable);
+    }
+
     void receive(PeerMessage message, long now) {
         long to = message.getToIncarnation();
         if (to != self.incarnation() && (to != 0 || !message.hasJoin())) {
@@ -475,6 +489,7 @@
 
     private AppendReply.Builder newAppendReply(Timing timing, long now) {
         return AppendReply.newBuilder()
+                .setLeaving(isLeaving)
                 .setTiming(Timing.newBuilder()
                         .setLeaderSentNanos(timing.getLeaderSentNanos())
                         .setFollowerSentNanos(now)
@@ -573,53 +588,13 @@
         leaderState.onMembersChanged(next, now);
     }
 
-    private void promoteLearner(long now) {
-        if (!canChangeMembers()) {
-            return;
-        }
-        for (MemberId learner : members().learners()) {
-            ReplicationProgress progress = leaderState.find(learner);
-            if (progress.isResponsive(now, times)
-                    && progress.matchIndex >= log.membershipIndex()
-                    && progress.matchIndex + MAX_PROMOTION_LAG >= commitIndex) {
-                appendMembership(members().withVoter(learner), now);
-                return;
-            }
-        }
-    }
-
-    /** Returns whether there are more voters than when the group was formed, so that replacements already vote. */
-    private boolean hasSurplusVoter() {
-        int minVoters = members().minVoters();
-        return members().voters().size()
-                > (minVoters > 0 ? minVoters : config.initialMembers().size());
-    }
-
-    /**
-     * Removes the voter that has been silent longest, if the group has a surplus voter.
-     *
-     * <p>A voter is silent if it has not replied for the vote hold time. That is less than the time after which a leader
-     * without a quorum steps down, so that a leader of four voters goes on when two of the others are lost at once.
-     */
-    private void removeSilentVoter(long now) {
-        if (!config.policy().isAutomatic() || !canChangeMembers() || !hasSurplusVoter()) {
-            return;
+    /** Makes at most one change of the members; further ones follow when it is committed. */
+    private void changeMembersAutomatically(long now) {
+        if (canChangeMembers()) {
+            new AutomaticChanges(config, members(), leaderState, now)
+                    .next(log.membershipIndex(), commitIndex)
+                    .ifPresent(next -> appendMembership(next, now));
         }
-        long silentSinceNanos = now - TimeUnit.MILLISECONDS.toNanos(times.voteHoldMs());
-        members().voters().stream()
-                .map(leaderState::find)
-                .filter(progress -> progress != null && progress.lastReplyNanos < silentSinceNanos)
-                .min(Comparator.comparingLong(progress -> progress.lastReplyNanos))
-                .map(progress -> progress.member)
-                .filter(voter -> hasResponsiveQuorum(members().withRemoved(voter.instance()), now))
-                .ifPresent(voter -> {
-                    LOG.infof("Voter %s does not reply and the group has a surplus voter; removing it", voter);
-                    appendMembership(members().withRemoved(voter.instance()), now);
-                });
-    }
-
-    private boolean hasResponsiveQuorum(Members next, long now) {
-        return next.voters().stream().filter(voter -> isResponsive(voter, now)).count() >= next.quorum();
     }
 
     private void sendJoin(long now) {
--- a/src/main/java/io/chivehollow/state/consensus/LeaderState.java
+++ b/src/main/java/io/chivehollow/state/consensus/LeaderState.java
@@ -87,12 +87,26 @@
         return progress != null && progress.member.equals(member) ? progress : null;
     }
 
+    /** Returns whether the member is this leader or has replied to it within the duration of a lease. */
+    boolean isResponsive(MemberId member, long now) {
+        ReplicationProgress progress = find(member);
+        return member.equals(self) || (progress != null && progress.isResponsive(now, times));
+    }
+
+    boolean hasResponsiveQuorum(Members members, long now) {
+        return members.voters().stream()
+                        .filter(voter -> isResponsive(voter, now))
+                        .count()
+                >= members.quorum();
+    }
+
     Iterable<ReplicationProgress> peers() {
         return peers.values();
     }
 
     void onAppendReply(ReplicationProgress progress, AppendReply reply, Members members, long now) {
         progress.onReply(now);
+        progress.isLeaving = reply.getLeaving();
         progress.followerTiming = reply.getTiming();
         progress.newestAckedSendNanos =
                 Math.max(progress.newestAckedSendNanos, reply.getTiming().getLeaderSentNanos());
--- a/src/main/java/io/chivehollow/state/consensus/MemberDriver.java
+++ b/src/main/java/io/chivehollow/state/consensus/MemberDriver.java
@@ -161,6 +161,11 @@
         return node.transferLeadership(clock.nanoTime());
     }
 
+    /** States that this member is about to stop; returns whether it may stop without harm to the group. */
+    boolean leave() {
+        return node.leave(clock.nanoTime());
+    }
+
     /** Handles a message of another member; its sender has been authenticated as the instance {@code from}. */
     void receive(InstanceId from, byte[] bytes) {
         PeerMessage message;
--- a/src/main/java/io/chivehollow/state/consensus/Members.java
+++ b/src/main/java/io/chivehollow/state/consensus/Members.java
@@ -93,10 +93,15 @@
                 rest.learners,
                 admitted.filter(other -> !other.equals(instance)),
                 more.subList(Math.max(0, more.size() - MAX_REMOVED), more.size()),
-                Math.min(minVoters, rest.voters.size()),
+                minVoters,
                 rest.foundingLearners);
     }
 
+    /** Returns these members with a smaller or equal number of voters to keep. */
+    Members withMinVotersAtMost(int limit) {
+        return new Members(voters, learners, admitted, removed, Math.min(minVoters, limit), foundingLearners);
+    }
+
     private List<InstanceId> withoutRemoved(InstanceId instance) {
         return removed.stream().filter(other -> !other.equals(instance)).toList();
     }
--- a/src/main/java/io/chivehollow/state/consensus/MembershipChanges.java
+++ b/src/main/java/io/chivehollow/state/consensus/MembershipChanges.java
@@ -49,7 +49,7 @@
                             + " are needed for a quorum; admit another member first",
                     null);
         }
-        return next;
+        return isVoter ? next.withMinVotersAtMost(next.voters().size()) : next;
     }
 
     /**
--- a/src/main/java/io/chivehollow/state/consensus/ReplicationProgress.java
+++ b/src/main/java/io/chivehollow/state/consensus/ReplicationProgress.java
@@ -26,6 +26,10 @@
     long lastReplyNanos = NEVER;
 
     private boolean hasReplied;
+
+    /** Whether the member has stated in its last reply that it is about to stop. */
+    boolean isLeaving;
+
     long lastSentNanos = NEVER;
     long snapshotSentNanos = NEVER;
 
--- a/src/test/java/io/chivehollow/state/consensus/AutomaticMembershipTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/AutomaticMembershipTest.java
@@ -106,6 +106,41 @@
         simulation.recoverAndVerify();
     }
 
+    /** A learner that is lost before it votes must not remain a member, and its removal must not shrink the group. */
+    @Test(dataProvider = "seeds")
+    public void lostLearnerIsRemoved(long seed) {
+        Simulation simulation = start(seed);
+        simulation.start(simulation.member(3));
+        for (int i = 0;
+                simulation.leader().orElseThrow().driver.view().members().size() < 4;
+                i++) {
+            assertTrue(i < 5_000, "The instance does not join");
+            simulation.run(1);
+        }
+        simulation.crash(3);
+        simulation.run(12_000);
+        MemberView view = simulation.leader().orElseThrow().driver.view();
+        assertEquals(view.members().size(), 3);
+        assertEquals(view.group().minVoters(), 3);
+    }
+
+    /** Only the removal of a voter by an operator reduces the number of voters that the group keeps. */
+    @Test
+    public void removalOfLearnerKeepsTheNumberOfVoters() {
+        MemberId voter = new MemberId(InstanceId.of("a"), 1);
+        MemberId other = new MemberId(InstanceId.of("b"), 2);
+        MemberId learner = new MemberId(InstanceId.of("c"), 3);
+        Members members = Members.ofVoters(List.of(voter, other)).withLearner(learner, false);
+        assertEquals(members.withRemoved(learner.instance()).minVoters(), 2);
+        assertEquals(
+                MembershipChanges.remove(members, learner.instance(), any -> true)
+                        .minVoters(),
+                2);
+        Members alone =
+                MembershipChanges.remove(members.withRemoved(learner.instance()), other.instance(), any -> true);
+        assertEquals(alone.minVoters(), 1);
+    }
+
     /** An instance that may not form a group must not elect itself while all members of the group are down. */
     @Test(dataProvider = "seeds")
     public void instanceBarredFromFormingGroupElectsNoLeader(long seed) {
--- a/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
@@ -90,6 +90,53 @@
         group.returnAndVerify(loss);
     }
 
+    /** A replaced instance that stops on request must have left the group before it ends. */
+    @Test(dataProvider = "losses")
+    public void groupServesWhenAnotherIsLostRightAfterAPlannedRemoval(Loss loss, Leader leader, long seed) {
+        Group group = new Group(seed, leader);
+        group.startSuccessor();
+        group.simulation.run(CATCH_UP_MS);
+        group.electAgain(leader);
+        group.simulation.stop(group.replaced);
+        group.electAgain(leader == Leader.REPLACED ? Leader.OTHER : leader);
+        group.lose(loss);
+        group.checkServesWithoutLost();
+        group.returnAndVerify(loss);
+    }
+
+    /** An instance that stops without a replacement must remain a voter, and must not wait long before it ends. */
+    @Test(dataProvider = "seeds")
+    public void stoppingInstanceWithoutReplacementRemainsVoter(long seed) {
+        for (Leader leader : Leader.values()) {
+            Group group = new Group(seed, leader);
+            long start = group.simulation.now();
+            group.simulation.stop(group.lost);
+            assertTrue(group.simulation.now() - start < 1_000_000_000L, "The instance waited for a second");
+            group.simulation.commit(3);
+            assertEquals(group.voters().size(), 3);
+            group.simulation.start(group.simulation.member(group.lost));
+            group.simulation.run(CATCH_UP_MS);
+            group.startSuccessor();
+            group.simulation.recoverAndVerify();
+        }
+    }
+
+    /** All members that stop at once must still be able to form a quorum when they return. */
+    @Test(dataProvider = "seeds")
+    public void groupReturnsAfterAllMembersHaveStopped(long seed) {
+        Group group = new Group(seed, Leader.OTHER);
+        group.startSuccessor();
+        group.simulation.run(CATCH_UP_MS);
+        for (int round = 0; round < 200; round++) {
+            group.simulation.members().stream()
+                    .filter(member -> member.isUp() && !member.hasLeft())
+                    .forEach(SimMember::leave);
+            group.simulation.run(10);
+        }
+        group.simulation.members().forEach(member -> group.simulation.crash(member.number));
+        group.simulation.recoverAndVerify();
+    }
+
     /** If both are lost at once and the leader is not one of them, it must go on with the remaining voter. */
     @Test(dataProvider = "seeds")
     public void leaderGoesOnWhenTwoOfFourVotersAreLostAtOnce(long seed) {
--- a/src/test/java/io/chivehollow/state/consensus/SimMember.java
+++ b/src/test/java/io/chivehollow/state/consensus/SimMember.java
@@ -42,6 +42,7 @@
     boolean hasDamagedRecords;
 
     private MembershipPolicy policy = MembershipPolicy.byOperators();
+    private boolean hasLeft;
     private boolean isProcessing;
     private long incarnation;
     private int restoreCount;
@@ -75,6 +76,7 @@
     void start(List<InstanceId> members, Set<ConsensusSafeguard> disabledSafeguards, int snapshotEntries) {
         processGeneration++;
         restoreCount = 0;
+        hasLeft = false;
         LogStore.RecoveredLog opened = LogStore.open(disk, instance.value(), random);
         incarnation = opened.store().memberState().incarnation();
         NodeConfig config = new NodeConfig(
@@ -86,6 +88,16 @@
         scheduleTick(processGeneration);
     }
 
+    /** Takes the next step towards leaving the group. */
+    void leave() {
+        input(running -> hasLeft |= running.leave());
+    }
+
+    /** Returns whether the running process may stop because it has left the group or remains a voter. */
+    boolean hasLeft() {
+        return hasLeft;
+    }
+
     long incarnation() {
         return incarnation;
     }
--- a/src/test/java/io/chivehollow/state/consensus/Simulation.java
+++ b/src/test/java/io/chivehollow/state/consensus/Simulation.java
@@ -190,6 +190,16 @@
         }
     }
 
+    /** Ends a process as after a termination signal: it leaves the group if it can, within two seconds. */
+    void stop(int number) {
+        SimMember member = member(number);
+        for (int waitedMs = 0; member.isUp() && !member.hasLeft() && waitedMs < 2_000; waitedMs += 10) {
+            member.leave();
+            run(10);
+        }
+        crash(number);
+    }
+
     void loseDisk(int number) {
         crash(number);
         member(number).disk = new SimDisk();
