Remove a silent voter after five vote hold times, counted across elections

A silence that a restart ends by itself must not use up the surplus.

Change: a voter that the group can spare is removed after five vote hold times, 3 s in the deployments, less than the time for which a new machine counts as lost. So that this is as quick as before where it matters, a new leader counts the silence of the leader before it from its last message, and a leader without a quorum stays while the rest of the group without one silent voter would have one, instead of stepping down and leaving too few voters for an election. Groups with automatic membership are simulated with the times of the deployments.

--- a/src/main/java/io/chivehollow/state/consensus/AutomaticChanges.java
+++ b/src/main/java/io/chivehollow/state/consensus/AutomaticChanges.java
@@ -85,20 +85,28 @@
     }
 
     /**
-     * Returns the members without the voter that has been silent longest, if the group has a surplus voter.
-     *
-     * <p>A voter is silent if it has not replied for the vote hold time. That is less than the time after which a leader
-     * without a quorum steps down, so that a leader of four voters goes on when two of the others are lost at once.
+     * Returns whether the group can do without the voter that has been silent longest. A leader that has lost its quorum
+     * then stays, so that it can remove that voter: if it stepped down, the others might be too few to elect another.
      */
+    boolean canSpareSilentVoter() {
+        return config.policy().isAutomatic() && withoutLongestSilent().isPresent();
+    }
+
     private Optional<Members> removalOfSilentVoter() {
+        return longestSilent()
+                .filter(progress -> isSilent(progress, config.times().removalTimeoutMs()))
+                .flatMap(progress -> withoutLongestSilent());
+    }
+
+    private Optional<Members> withoutLongestSilent() {
         if (!hasSurplusVoter(members, config)) {
             return Optional.empty();
         }
-        return progressOf(members.voters())
-                .filter(progress -> isSilent(progress, config.times().voteHoldMs()))
-                .min(Comparator.comparingLong(progress -> progress.lastReplyNanos))
-                .map(this::withRemoved)
-                .filter(next -> leaderState.hasResponsiveQuorum(next, now));
+        return longestSilent().map(this::withRemoved).filter(next -> leaderState.hasResponsiveQuorum(next, now));
+    }
+
+    private Optional<ReplicationProgress> longestSilent() {
+        return progressOf(members.voters()).min(Comparator.comparingLong(progress -> progress.lastReplyNanos));
     }
 
     /** Returns the members without a learner that has stopped, or that has been silent for so long that it is lost. */
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -65,6 +65,9 @@
     /** Members of a new group that this member tries to form while its log is empty, or null. */
     private @Nullable Members bootstrapMembers;
 
+    /** The leader that this member has followed last, or null. */
+    private @Nullable MemberId lastFollowed;
+
     /** Last instance whose request to join was logged because it could not be admitted. */
     private @Nullable MemberId loggedUnadmitted;
 
@@ -121,7 +124,7 @@
     void tick(long now) {
         if (termState.hasRole(Role.LEADER)) {
             leaderState.renewLease(members(), now);
-            if (leaderState.hasLostQuorum(members(), now)) {
+            if (leaderState.hasLostQuorum(members(), now) && !canSpareSilentVoter(now)) {
                 LOG.warnf(
                         "No quorum of %s has replied; stepping down in term %d",
                         members().voters(), term());
@@ -379,6 +382,9 @@
         Members members = members();
         leaderState = new LeaderState(self, config, log, files, log.lastIndex() + 1, now);
         leaderState.onMembersChanged(members, now);
+        if (lastFollowed != null) {
+            leaderState.onLastHeard(lastFollowed, electionTimer.lastLeaderMessageNanos());
+        }
         if (log.members() == null) {
             appendAsLeader(LogEntry.EntryKind.MEMBERSHIP, members.encode());
         } else {
@@ -421,6 +427,7 @@
                 self,
                 from);
         becomeFollower(leaderTerm, from.instance(), now);
+        lastFollowed = from;
         electionTimer.onLeaderMessage(now);
         return true;
     }
@@ -588,6 +595,10 @@
         leaderState.onMembersChanged(next, now);
     }
 
+    private boolean canSpareSilentVoter(long now) {
+        return canChangeMembers() && new AutomaticChanges(config, members(), leaderState, now).canSpareSilentVoter();
+    }
+
     /** Makes at most one change of the members; further ones follow when it is committed. */
     private void changeMembersAutomatically(long now) {
         if (canChangeMembers()) {
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusTimes.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusTimes.java
@@ -16,6 +16,9 @@
 public record ConsensusTimes(
         int heartbeatMs, int leaseMs, int voteHoldMs, int maxElectionJitterMs, int proposalTimeoutMs) {
 
+    /** A process that is restarted replies again within a few vote hold times. */
+    private static final int REMOVAL_VOTE_HOLDS = 5;
+
     /**
      * Checks that the lease ends before members vote again.
      *
@@ -31,6 +34,11 @@
         checkArgument(heartbeatMs * 2 <= leaseMs, "heartbeatMs %s must be at most half of leaseMs", heartbeatMs);
     }
 
+    /** Returns the time without a reply after which a voter that the group can do without is removed. */
+    int removalTimeoutMs() {
+        return voteHoldMs * REMOVAL_VOTE_HOLDS;
+    }
+
     /**
      * Returns times for a group whose members have a network latency of a few milliseconds.
      *
--- a/src/main/java/io/chivehollow/state/consensus/ElectionTimer.java
+++ b/src/main/java/io/chivehollow/state/consensus/ElectionTimer.java
@@ -22,6 +22,10 @@
         onLeaderMessage(now);
     }
 
+    long lastLeaderMessageNanos() {
+        return lastLeaderMessageNanos;
+    }
+
     void onLeaderMessage(long now) {
         lastLeaderMessageNanos = now;
         restart(now);
--- a/src/main/java/io/chivehollow/state/consensus/LeaderState.java
+++ b/src/main/java/io/chivehollow/state/consensus/LeaderState.java
@@ -81,6 +81,14 @@
         }
     }
 
+    /** Sets the time at which a member was last heard of before this leader was elected. */
+    void onLastHeard(MemberId member, long nanos) {
+        ReplicationProgress progress = find(member);
+        if (progress != null) {
+            progress.lastReplyNanos = nanos;
+        }
+    }
+
     @Nullable
     ReplicationProgress find(MemberId member) {
         ReplicationProgress progress = peers.get(member.instance());
--- a/src/test/java/io/chivehollow/state/consensus/SimMember.java
+++ b/src/test/java/io/chivehollow/state/consensus/SimMember.java
@@ -42,6 +42,7 @@
     boolean hasDamagedRecords;
 
     private MembershipPolicy policy = MembershipPolicy.byOperators();
+    private ConsensusTimes times = ConsensusTimes.defaults();
     private boolean hasLeft;
     private boolean isProcessing;
     private long incarnation;
@@ -68,9 +69,10 @@
         return (long) ((clockNanos - clockOffset) / clockRate);
     }
 
-    /** Sets the membership policy; must be called before the next start. */
-    void setPolicy(MembershipPolicy newPolicy) {
+    /** Sets the membership policy and the times of the protocol; must be called before the next start. */
+    void setPolicy(MembershipPolicy newPolicy, ConsensusTimes newTimes) {
         policy = newPolicy;
+        times = newTimes;
     }
 
     void start(List<InstanceId> members, Set<ConsensusSafeguard> disabledSafeguards, int snapshotEntries) {
@@ -79,8 +81,7 @@
         hasLeft = false;
         LogStore.RecoveredLog opened = LogStore.open(disk, instance.value(), random);
         incarnation = opened.store().memberState().incarnation();
-        NodeConfig config = new NodeConfig(
-                instance, members, ConsensusTimes.defaults(), SNAPSHOT_PART_BYTES, policy, disabledSafeguards);
+        NodeConfig config = new NodeConfig(instance, members, times, SNAPSHOT_PART_BYTES, policy, disabledSafeguards);
         driver = new MemberDriver(
                 config, opened, new CheckedStateMachine(), this::sendTo, new MemberClock(), random, snapshotEntries);
         inbox.clear();
--- a/src/test/java/io/chivehollow/state/consensus/Simulation.java
+++ b/src/test/java/io/chivehollow/state/consensus/Simulation.java
@@ -20,6 +20,9 @@
 
     private static final long MS = 1_000_000;
 
+    /** Vote hold time of groups with automatic membership, as in the template of the deployments. */
+    private static final int VOTE_HOLD_MS = 600;
+
     private final Random random;
     private final Set<ConsensusSafeguard> disabledSafeguards;
     private final Supplier<ControlState> states;
@@ -73,7 +76,9 @@
         for (SimMember member : simulation.members) {
             simulation.loseDisk(member.number);
             boolean isFounder = member.number < founders;
-            member.setPolicy(MembershipPolicy.automatic(isFounder, List::of));
+            member.setPolicy(
+                    MembershipPolicy.automatic(isFounder, () -> simulation.instances),
+                    ConsensusTimes.ofVoteHold(VOTE_HOLD_MS));
             if (isFounder) {
                 simulation.start(member);
             }
