A learner that hears of no leader joins again

Its own log named it as a learner, and unlike a voter it never gave up its leader, so that it sent no request to join.

Change: a learner forgets the leader when the election time passes without a message.

--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -143,6 +143,9 @@
             electionTimer.restart(now);
             if (isVoter()) {
                 elections.startPreVote(now);
+            } else {
+                // A learner without a leader joins again, because it may have been removed.
+                termState.setLeader(null);
             }
         }
     }
--- a/src/test/java/io/chivehollow/state/consensus/AutomaticMembershipTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/AutomaticMembershipTest.java
@@ -124,6 +124,25 @@
         assertEquals(view.group().minVoters(), 3);
     }
 
+    /** A learner that was removed while it was frozen must join again, although its log names it as a member. */
+    @Test(dataProvider = "seeds")
+    public void removedLearnerJoinsAgain(long seed) {
+        Simulation simulation = start(seed);
+        SimMember member = simulation.member(3);
+        simulation.start(member);
+        simulation.run(4_000);
+        for (int i = 0; !member.hasLeft(); i++) {
+            assertTrue(i < 100, "The member does not become a learner");
+            member.leave();
+            simulation.run(20);
+        }
+        simulation.pause(member.number, 2_000);
+        simulation.run(1_500);
+        assertEquals(simulation.leader().orElseThrow().driver.view().members().size(), 3);
+        simulation.run(4_000);
+        assertEquals(simulation.leader().orElseThrow().driver.view().members().size(), 4);
+    }
+
     /** Only the removal of a voter by an operator reduces the number of voters that the group keeps. */
     @Test
     public void removalOfLearnerKeepsTheNumberOfVoters() {
