Elect a leader although a voter has lost its disk and another is gone

Change: an instance that runs under another incarnation than a voter shows that the voter will never vote again. Every member, not only a leader, asks it to return a nonce, so that a delayed message of an earlier incarnation proves nothing. The quorum is fixed before the votes are requested, and used by the leader that it elects until the members change. Groups of odd sizes have no vote to spare.

--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Predicate;
@@ -56,6 +55,7 @@
     private final ElectionTimer electionTimer;
     private final JoinProtocol joinProtocol;
     private final Elections elections;
+    private final RetiredVoters retiredVoters;
     private final TermState termState;
     private @Nullable Snapshot latestSnapshot;
     private @Nullable Snapshot unwrittenSnapshot;
@@ -68,9 +68,6 @@
     /** The leader that this member has followed last, or null. */
     private @Nullable MemberId lastFollowed;
 
-    /** Last instance whose request to join was logged because it could not be admitted. */
-    private @Nullable MemberId loggedUnadmitted;
-
     /** Whether this member is about to stop. */
     private boolean isLeaving;
 
@@ -107,6 +104,7 @@
         this.outbox = new Outbox(self);
         this.electionTimer = new ElectionTimer(config, random, now);
         this.joinProtocol = new JoinProtocol(config, self);
+        this.retiredVoters = new RetiredVoters(random);
         this.elections = new Elections(config, self, log, outbox, electionTimer, termState, new ElectionCallbacks());
     }
 
@@ -383,7 +381,7 @@
     private void becomeLeader(long now) {
         termState.setRole(Role.LEADER, self.instance());
         Members members = members();
-        leaderState = new LeaderState(self, config, log, files, log.lastIndex() + 1, now);
+        leaderState = new LeaderState(self, config, log, files, elections.quorum(), now);
         leaderState.onMembersChanged(members, now);
         if (lastFollowed != null) {
             leaderState.onLastHeard(lastFollowed, electionTimer.lastLeaderMessageNanos());
@@ -616,7 +614,7 @@
             return;
         }
         for (InstanceId target : joinProtocol.targets(members())) {
-            outbox.sendBeforeSync(target, header().setJoin(joinProtocol.newRequest(isEmpty())));
+            outbox.sendBeforeSync(target, header().setJoin(joinProtocol.newRequest(target, isEmpty())));
         }
         Members forming = isEmpty() ? joinProtocol.tryFormGroup() : null;
         if (!Objects.equals(forming, bootstrapMembers)) {
@@ -635,29 +633,17 @@
             }
             // A delayed message of an earlier incarnation must not replace the current one, so the sender first has to
             // return a nonce.
-            if (leaderState.confirmOrIssueNonce(from, join.getNonce(), random.nextLong() | 1)) {
+            if (leaderState.joinNonces().confirmOrIssue(from, join.getNonce(), random.nextLong() | 1)) {
                 appendMembership(members().withLearner(from, join.getFounder()), now);
                 return;
             }
-            reply.setNonce(leaderState.issuedNonce(from));
-        } else {
-            logUnadmitted(from);
+            reply.setNonce(leaderState.joinNonces().issued(from));
+        } else if (log.members() != null) {
+            reply.setNonce(retiredVoters.onJoin(from, join.getNonce(), members()));
         }
         outbox.sendBeforeSync(from, header().setJoinReply(reply));
     }
 
-    private void logUnadmitted(MemberId from) {
-        boolean isReplacedVoter = members().voters().stream()
-                .anyMatch(voter -> voter.instance().equals(from.instance()) && !voter.equals(from));
-        if (isReplacedVoter && !from.equals(loggedUnadmitted)) {
-            loggedUnadmitted = from;
-            LOG.warnf(
-                    "Voter %s has returned with another data folder and needs a leader that admits it, but this member"
-                            + " is a %s that follows %s",
-                    from, role().name().toLowerCase(Locale.ROOT), termState.leader());
-        }
-    }
-
     private PeerMessage.Builder header() {
         return outbox.header(termState.term());
     }
@@ -670,6 +656,14 @@
             return ConsensusNode.this.members();
         }
 
+        @Override
+        public VoterQuorum quorum() {
+            // The members of a group that is still to be formed are not in any log, so nothing can be known of them.
+            return log.members() == null
+                    ? VoterQuorum.of(members())
+                    : VoterQuorum.withoutRetired(members(), retiredVoters.among(members()));
+        }
+
         @Override
         public boolean isLeaseValid(long now) {
             return leaderState != null && leaderState.isLeaseValid(now);
--- a/src/main/java/io/chivehollow/state/consensus/Elections.java
+++ b/src/main/java/io/chivehollow/state/consensus/Elections.java
@@ -1,6 +1,7 @@
 package io.chivehollow.state.consensus;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 import io.chivehollow.base.InstanceId;
@@ -29,6 +30,9 @@
     private final MemberCallbacks callbacks;
     private final Set<MemberId> grantedVotes = new HashSet<>();
 
+    /** Quorum of the present or last election; fixed before its votes are requested. */
+    private VoterQuorum quorum = new VoterQuorum(List.of(), 1);
+
     /** Votes of the last unsuccessful election that was logged. */
     private Set<MemberId> loggedVotes = Set.of();
 
@@ -55,6 +59,7 @@
             logUnsuccessful();
         }
         state.setRole(Role.PRE_CANDIDATE, null);
+        quorum = callbacks.quorum();
         grantedVotes.clear();
         requestVotes(state.term() + 1, true, false);
         countVote(self, now);
@@ -65,14 +70,13 @@
             return;
         }
         loggedVotes = Set.copyOf(grantedVotes);
-        Members members = callbacks.members();
         LOG.warnf(
                 "No leader is elected after term %d: %d of %d votes are needed, granted by %s, not granted by %s",
                 state.term(),
-                members.quorum(),
-                members.voters().size(),
+                quorum.size(),
+                quorum.voters().size(),
                 loggedVotes,
-                members.voters().stream()
+                quorum.voters().stream()
                         .filter(voter -> !grantedVotes.contains(voter))
                         .toList());
     }
@@ -80,10 +84,16 @@
     void onLeadershipTransfer(MemberId from, long leaderTerm, long now) {
         boolean isFromLeader = leaderTerm == state.term() && from.instance().equals(state.leader());
         if (isFromLeader && state.hasRole(Role.FOLLOWER) && callbacks.members().isVoter(self)) {
+            quorum = callbacks.quorum();
             startElection(true, now);
         }
     }
 
+    /** Returns the quorum of the last election. */
+    VoterQuorum quorum() {
+        return quorum;
+    }
+
     private void startElection(boolean isTransferred, long now) {
         state.setRole(Role.CANDIDATE, state.leader());
         grantedVotes.clear();
@@ -144,14 +154,14 @@
         boolean isExpected = reply.getPre()
                 ? state.hasRole(Role.PRE_CANDIDATE) && repliedTerm == state.term() + 1
                 : state.hasRole(Role.CANDIDATE) && repliedTerm == state.term();
-        if (isExpected && callbacks.members().isVoter(from)) {
+        if (isExpected && quorum.voters().contains(from)) {
             countVote(from, now);
         }
     }
 
     private void countVote(MemberId from, long now) {
         grantedVotes.add(from);
-        if (grantedVotes.size() < callbacks.members().quorum()) {
+        if (grantedVotes.size() < quorum.size()) {
             return;
         }
         if (state.hasRole(Role.PRE_CANDIDATE)) {
@@ -164,9 +174,12 @@
     /** Operations of the member that takes part in the elections. */
     interface MemberCallbacks {
 
-        /** Returns the members whose votes count. */
+        /** Returns the members of the group. */
         Members members();
 
+        /** Returns the quorum of an election that begins now. */
+        VoterQuorum quorum();
+
         /** Returns whether this member is the leader and holds a valid lease. */
         boolean isLeaseValid(long now);
 
--- a/src/main/java/io/chivehollow/state/consensus/JoinProtocol.java
+++ b/src/main/java/io/chivehollow/state/consensus/JoinProtocol.java
@@ -33,7 +33,9 @@
     private final Set<InstanceId> reportedMembers = new HashSet<>();
 
     private long lastSentNanos = ReplicationProgress.NEVER;
-    private long nonce;
+
+    /** Nonces by the instance that has issued them. */
+    private final Map<InstanceId, Long> nonces = new HashMap<>();
 
     JoinProtocol(NodeConfig config, MemberId self) {
         this.config = config;
@@ -68,17 +70,17 @@
         return targets;
     }
 
-    Join newRequest(boolean isEmpty) {
+    Join newRequest(InstanceId target, boolean isEmpty) {
         return Join.newBuilder()
                 .setEmpty(isEmpty)
-                .setNonce(nonce)
+                .setNonce(nonces.getOrDefault(target, 0L))
                 .setFounder(isEmpty && config.policy().canFormGroup())
                 .build();
     }
 
     void onReply(MemberId from, JoinReply reply) {
         if (reply.getNonce() != 0) {
-            nonce = reply.getNonce();
+            nonces.put(from.instance(), reply.getNonce());
         }
         if (reply.getMembersCount() > 0) {
             reportedMembers.clear();
--- a/src/main/java/io/chivehollow/state/consensus/LeaderState.java
+++ b/src/main/java/io/chivehollow/state/consensus/LeaderState.java
@@ -54,19 +54,32 @@
     private final SnapshotFiles files;
     private final long termStartIndex;
     private final Map<InstanceId, ReplicationProgress> peers = new HashMap<>();
-    private final Map<InstanceId, JoinNonce> joinNonces = new HashMap<>();
+    private final JoinNonces joinNonces = new JoinNonces();
+
+    /** Quorum that has elected this leader; it is used until the membership changes. */
+    private final VoterQuorum electionQuorum;
+
+    private final long electionMembershipIndex;
     private long leaseUntilNanos = ReplicationProgress.NEVER;
     private long leaseStartNanos = ReplicationProgress.NEVER;
     private boolean hasCommittedInTerm;
     private final long startNanos;
 
-    LeaderState(MemberId self, NodeConfig config, InMemoryLog log, SnapshotFiles files, long termStartIndex, long now) {
+    LeaderState(
+            MemberId self,
+            NodeConfig config,
+            InMemoryLog log,
+            SnapshotFiles files,
+            VoterQuorum electionQuorum,
+            long now) {
         this.self = self;
         this.config = config;
         this.times = config.times();
         this.log = log;
         this.files = files;
-        this.termStartIndex = termStartIndex;
+        this.termStartIndex = log.lastIndex() + 1;
+        this.electionQuorum = electionQuorum;
+        this.electionMembershipIndex = log.membershipIndex();
         this.startNanos = now;
     }
 
@@ -108,6 +121,10 @@
                 >= members.quorum();
     }
 
+    JoinNonces joinNonces() {
+        return joinNonces;
+    }
+
     Iterable<ReplicationProgress> peers() {
         return peers.values();
     }
@@ -134,8 +151,10 @@
     }
 
     private long quorumMinimum(Members members, long own, ToLongFunction<ReplicationProgress> value) {
+        VoterQuorum quorum =
+                log.membershipIndex() == electionMembershipIndex ? electionQuorum : VoterQuorum.of(members);
         List<Long> values = new ArrayList<>();
-        for (MemberId voter : members.voters()) {
+        for (MemberId voter : quorum.voters()) {
             if (voter.equals(self)) {
                 values.add(own);
                 continue;
@@ -144,7 +163,7 @@
             values.add(progress == null ? ReplicationProgress.NEVER : value.applyAsLong(progress));
         }
         values.sort(Collections.reverseOrder());
-        return values.get(members.quorum() - 1);
+        return values.get(quorum.size() - 1);
     }
 
     /** Extends the lease to {@code leaseMs} after the send time of the newest messages that a quorum acknowledged. */
@@ -312,23 +331,4 @@
                 .setData(UnsafeByteOperations.unsafeWrap(entry.data()))
                 .build();
     }
-
-    /**
-     * Returns whether the member has returned the nonce that was issued to it. Stores {@code newNonce} for the member
-     * if none was issued to this incarnation.
-     */
-    boolean confirmOrIssueNonce(MemberId member, long nonce, long newNonce) {
-        JoinNonce issued = joinNonces.get(member.instance());
-        if (issued != null && issued.member().equals(member)) {
-            return issued.nonce() == nonce;
-        }
-        joinNonces.put(member.instance(), new JoinNonce(member, newNonce));
-        return false;
-    }
-
-    long issuedNonce(MemberId member) {
-        return joinNonces.get(member.instance()).nonce();
-    }
-
-    private record JoinNonce(MemberId member, long nonce) {}
 }
--- a/src/test/java/io/chivehollow/state/consensus/ConsensusNodeTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/ConsensusNodeTest.java
@@ -8,6 +8,7 @@
 
 import io.chivehollow.base.InstanceId;
 import io.chivehollow.state.consensus.wire.AppendReply;
+import io.chivehollow.state.consensus.wire.Join;
 import io.chivehollow.state.consensus.wire.PeerMessage;
 import io.chivehollow.state.consensus.wire.Timing;
 import io.chivehollow.state.consensus.wire.VoteReply;
@@ -25,12 +26,17 @@
     private static final MemberId A = new MemberId(InstanceId.of("a"), 1);
     private static final MemberId B = new MemberId(InstanceId.of("b"), 2);
     private static final MemberId C = new MemberId(InstanceId.of("c"), 3);
+    private static final MemberId D = new MemberId(InstanceId.of("d"), 4);
     private static final long LATER = TimeUnit.SECONDS.toNanos(10);
 
     /** Returns member a in term 2 with a membership at index 1 and a command of term 2 at index 2. */
     private static ConsensusNode nodeWithOldEntry(Set<ConsensusSafeguard> disabledSafeguards) {
+        return nodeWithOldEntry(List.of(A, B, C), disabledSafeguards);
+    }
+
+    private static ConsensusNode nodeWithOldEntry(List<MemberId> voters, Set<ConsensusSafeguard> disabledSafeguards) {
         List<InstanceId> instances = List.of(A.instance(), B.instance(), C.instance());
-        byte[] members = Members.ofVoters(List.of(A, B, C)).encode();
+        byte[] members = Members.ofVoters(voters).encode();
         List<LogEntry> entries = List.of(
                 new LogEntry(1, 1, LogEntry.EntryKind.MEMBERSHIP, members),
                 new LogEntry(2, 2, LogEntry.EntryKind.COMMAND, new byte[] {7}));
@@ -190,4 +196,65 @@
         node.onSynced(now);
         return notices;
     }
+
+    /** Sends the request of an instance to join, without or with the nonce of the reply; returns the nonce. */
+    private static long join(ConsensusNode node, MemberId sender, long nonce) {
+        List<PeerMessage> sent = new ArrayList<>();
+        node.receive(from(sender, 0).setJoin(Join.newBuilder().setNonce(nonce)).build(), LATER);
+        flush(node, sent);
+        return sent.stream()
+                .filter(PeerMessage::hasJoinReply)
+                .mapToLong(message -> message.getJoinReply().getNonce())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static void receiveVote(ConsensusNode node, MemberId voter, boolean isPreVote) {
+        VoteReply.Builder vote = VoteReply.newBuilder().setGranted(true).setPre(isPreVote);
+        node.receive(from(voter, 3).setVoteReply(vote).build(), LATER);
+        flush(node, new ArrayList<>());
+    }
+
+    /** A quorum without a retired voter must consist of votes that were requested when it was known to be retired. */
+    @Test
+    public void earlierVoteDoesNotCountForAQuorumWithoutARetiredVoter() {
+        ConsensusNode node = nodeWithOldEntry(List.of(A, B, C, D), Set.of());
+        MemberId returned = new MemberId(C.instance(), 99);
+        node.tick(LATER);
+        receiveVote(node, B, true);
+        join(node, returned, join(node, returned, 0));
+        receiveVote(node, B, true);
+        assertEquals(node.role(), ConsensusNode.Role.PRE_CANDIDATE);
+        node.tick(2 * LATER);
+        flush(node, new ArrayList<>());
+        receiveVote(node, C, true);
+        assertEquals(node.role(), ConsensusNode.Role.PRE_CANDIDATE, "The vote of a retired voter counts");
+        receiveVote(node, B, true);
+        receiveVote(node, B, false);
+        assertEquals(node.role(), ConsensusNode.Role.LEADER);
+    }
+
+    /** A message of an earlier incarnation, which cannot return the nonce, must not make its successor a retired one. */
+    @Test
+    public void delayedJoinDoesNotRetireAVoter() {
+        ConsensusNode node = nodeWithOldEntry(List.of(A, B, C, D), Set.of());
+        MemberId earlier = new MemberId(C.instance(), 99);
+        long nonce = join(node, earlier, 0);
+        join(node, earlier, nonce + 1);
+        node.tick(LATER);
+        flush(node, new ArrayList<>());
+        receiveVote(node, B, true);
+        assertEquals(node.role(), ConsensusNode.Role.PRE_CANDIDATE);
+    }
+
+    /** A group of an odd size has no vote to spare, so two of three remain necessary. */
+    @Test
+    public void retiredVoterOfAnOddGroupChangesNothing() {
+        ConsensusNode node = nodeWithOldEntry(Set.of());
+        MemberId returned = new MemberId(C.instance(), 99);
+        join(node, returned, join(node, returned, 0));
+        node.tick(LATER);
+        flush(node, new ArrayList<>());
+        assertEquals(node.role(), ConsensusNode.Role.PRE_CANDIDATE);
+    }
 }
--- a/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
@@ -152,6 +152,39 @@
         }
     }
 
+    /**
+     * If the leader is one of two that are lost at once, nobody can be elected until one of them returns; one that
+     * returns with an empty disk must do, although only a leader can admit it.
+     */
+    @Test(dataProvider = "losses")
+    public void groupReturnsWhenTwoOfFourVotersAreLostAtOnce(Loss loss, Leader leader, long seed) {
+        Group group = new Group(seed, leader);
+        group.startSuccessor();
+        group.simulation.run(CATCH_UP_MS);
+        group.electAgain(leader);
+        group.simulation.crash(group.replaced);
+        group.lose(loss);
+        group.simulation.run(1_500);
+        group.returnAndVerify(loss);
+    }
+
+    /** The same if all other members lose power at that moment. */
+    @Test(dataProvider = "losses")
+    public void groupReturnsWhenTheOthersAreRestarted(Loss loss, Leader leader, long seed) {
+        Group group = new Group(seed, leader);
+        group.startSuccessor();
+        group.simulation.run(CATCH_UP_MS);
+        group.electAgain(leader);
+        group.simulation.crash(group.replaced);
+        group.lose(loss);
+        group.simulation.crash(group.other);
+        group.simulation.crash(SUCCESSOR);
+        group.simulation.run(1_500);
+        group.simulation.start(group.simulation.member(group.other));
+        group.simulation.start(group.simulation.member(SUCCESSOR));
+        group.returnAndVerify(loss);
+    }
+
     /** A group of three initial instances and the successor of one of them. */
     private static final class Group {
 
--- a/src/test/java/io/chivehollow/state/consensus/Simulation.java
+++ b/src/test/java/io/chivehollow/state/consensus/Simulation.java
@@ -234,18 +234,34 @@
 
     /** Returns whether all instances are voters under their current incarnations, according to the leader. */
     boolean allInstancesVote() {
+        return isGroup(members);
+    }
+
+    /** Returns whether these instances, and no others, are voters under their current incarnations. */
+    boolean isGroup(List<SimMember> expected) {
         Optional<SimMember> leader = leader();
-        if (leader.isEmpty() || !members.stream().allMatch(SimMember::isUp)) {
+        if (leader.isEmpty() || !expected.stream().allMatch(SimMember::isUp)) {
             return false;
         }
         List<ReplicatedLog.MemberStatus> statuses =
                 leader.get().driver.view().status().members();
-        return statuses.size() == members.size()
+        return statuses.size() == expected.size()
                 && statuses.stream().allMatch(ReplicatedLog.MemberStatus::isVoter)
-                && members.stream()
+                && expected.stream()
                         .allMatch(member -> leader.get().driver.isVoter(member.instance, member.incarnation()));
     }
 
+    private static String describe(List<SimMember> some) {
+        return some.stream()
+                .map(member -> member.isUp()
+                        ? member.instance + " is a "
+                                + member.driver.view().status().role() + " of "
+                                + member.driver.view().group()
+                        : member.instance + " is down")
+                .toList()
+                .toString();
+    }
+
     void propose(SimMember member) {
         member.propose("c" + commands++);
     }
@@ -268,19 +284,25 @@
      * Clears all faults, and checks that all instances become voters again and that no acknowledged command is lost.
      */
     void recoverAndVerify() {
+        recoverAndVerify(members);
+    }
+
+    /** Does the same for a group that consists of these instances; the others are gone. */
+    void recoverAndVerify(List<SimMember> remaining) {
         clearFaults();
         // Longer than any pause and any delayed restart.
         run(3_000);
-        members.forEach(this::start);
-        for (int attempt = 0; !allInstancesVote(); attempt++) {
+        remaining.forEach(this::start);
+        for (int attempt = 0; !isGroup(remaining); attempt++) {
             if (attempt > 600) {
-                throw new StalledException("Not all instances are voters after " + now / MS + " ms");
+                throw new StalledException(
+                        "Not all instances are voters after " + now / MS + " ms: " + describe(remaining));
             }
             run(100);
         }
         commit(1);
         run(2_000);
-        checker.checkFinal(members.stream()
+        checker.checkFinal(remaining.stream()
                 .map(member -> member.isUp() ? member.driver.view().status().appliedIndex() : -1)
                 .toList());
     }
