--- a/src/main/java/io/chivehollow/state/consensus/AutomaticChanges.java
+++ b/src/main/java/io/chivehollow/state/consensus/AutomaticChanges.java
@@ -85,8 +85,9 @@
     }
 
     /**
-     * Returns whether the group can do without the voter that has been silent longest. A leader that has lost its quorum
-     * then stays, so that it can remove that voter: if it stepped down, the others might be too few to elect another.
+     * Returns whether the group can do without the voter that has been silent longest. A leader that has lost its
+     * quorum then stays, so that it can remove that voter: if it stepped down, the others might be too few to elect
+     * another.
      */
     boolean canSpareSilentVoter() {
         return config.policy().isAutomatic() && withoutLongestSilent().isPresent();
--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -221,7 +221,8 @@
      * group: as a learner, or as a voter that the group needs and that may return.
      *
      * <p>A leader transfers its leadership to a voter that remains. If the group has a surplus voter, the leader makes
-     * this member a learner, so that the group does not wait for it after its end; until then it still receives the log.
+     * this member a learner, so that the group does not wait for it after its end; until then it still receives the
+     * log.
      */
     boolean leave(long now) {
         isLeaving = true;
--- a/src/main/java/io/chivehollow/state/consensus/VoterQuorum.java
+++ b/src/main/java/io/chivehollow/state/consensus/VoterQuorum.java
@@ -7,16 +7,16 @@
  * The voters whose votes and acknowledgements count, and how many of them make a quorum.
  *
  * <p>Usually that is a majority of the voters. A retired voter is one whose instance has returned with an empty data
- * folder, so that the voter will never vote or acknowledge anything again. In a group of an even number n of voters, one
- * of them retired, n/2 of the others are enough:
+ * folder, so that the voter will never vote or acknowledge anything again. In a group of an even number n of voters,
+ * one of them retired, n/2 of the others are enough:
  *
  * <ul>
  *   <li>n/2 + 1 and n/2 voters of n have one in common, so that such a quorum contains a member of every majority that
  *       has committed an entry or elected a leader before, and of every majority that still can.
  *   <li>Two quorums without the retired voter are n votes of n - 1 voters, so they have one in common, too.
  *   <li>Two candidates may know of different retired voters. If votes are requested only after a voter is known to be
- *       retired, each candidate's quorum cannot contain the voter that the other one leaves out: the first would have to
- *       vote after the second had stopped, and the second after the first.
+ *       retired, each candidate's quorum cannot contain the voter that the other one leaves out: the first would have
+ *       to vote after the second had stopped, and the second after the first.
  * </ul>
  *
  * <p>Therefore a quorum is fixed before the votes are requested, and a leader uses the quorum that elected it until the
--- a/src/test/java/io/chivehollow/state/consensus/ConsensusNodeTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/ConsensusNodeTest.java
@@ -234,7 +234,7 @@
         assertEquals(node.role(), ConsensusNode.Role.LEADER);
     }
 
-    /** A message of an earlier incarnation, which cannot return the nonce, must not make its successor a retired one. */
+    /** A message of an earlier incarnation, which cannot return the nonce, must not make its successor retired. */
     @Test
     public void delayedJoinDoesNotRetireAVoter() {
         ConsensusNode node = nodeWithOldEntry(List.of(A, B, C, D), Set.of());
--- a/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
@@ -236,6 +236,7 @@
                 case KILLED -> simulation.crash(lost);
                 case FROZEN -> simulation.pause(lost, FREEZE_MS);
                 case WIPED -> simulation.loseDisk(lost);
+                default -> throw new IllegalArgumentException(loss.toString());
             }
         }
 
