Hand the leadership to a voter that remains

With the notice of a stop, two replicas may be stopping at once. A leader handed over to the first voter that has all entries, also to one that was about to end.

--- a/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
+++ b/src/main/java/io/chivehollow/state/consensus/ConsensusNode.java
@@ -194,7 +194,7 @@
      * because this member is not the leader or is the only voter.
      */
     boolean transferLeadership(long now) {
-        return transferLeadership(now, progress -> true);
+        return transferLeadership(now, progress -> !progress.isLeaving) || transferLeadership(now, progress -> true);
     }
 
     private boolean transferLeadership(long now, Predicate<ReplicationProgress> isEligible) {
--- a/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
@@ -121,6 +121,19 @@
         }
     }
 
+    /** A leader that stops must not hand over to a voter that is about to stop, too. */
+    @Test(dataProvider = "seeds")
+    public void leadershipIsHandedToAVoterThatRemains(long seed) {
+        Group group = new Group(seed, Leader.OTHER);
+        int leader = group.awaitLeader().number;
+        int stopping = (leader + 1 + (int) (seed % 2)) % 3;
+        group.simulation.member(stopping).leave();
+        group.simulation.run(500);
+        group.simulation.member(leader).input(MemberDriver::transferLeadership);
+        group.simulation.run(500);
+        assertEquals(group.awaitLeader().number, 3 - leader - stopping);
+    }
+
     /** All members that stop at once must still be able to form a quorum when they return. */
     @Test(dataProvider = "seeds")
     public void groupReturnsAfterAllMembersHaveStopped(long seed) {
