--- a/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/ReplacementTest.java
@@ -79,10 +79,7 @@
     /** The same if the successor was started before, and the next one is lost four seconds after the replaced one. */
     @Test(dataProvider = "losses")
     public void groupServesWhenAnotherIsLostShortlyAfterARemoval(Loss loss, Leader leader, long seed) {
-        Group group = new Group(seed, leader);
-        group.startSuccessor();
-        group.simulation.run(CATCH_UP_MS);
-        group.electAgain(leader);
+        Group group = Group.withSuccessor(seed, leader);
         group.simulation.crash(group.replaced);
         group.simulation.run(CATCH_UP_MS);
         group.lose(loss);
@@ -93,10 +90,7 @@
     /** A replaced instance that stops on request must have left the group before it ends. */
     @Test(dataProvider = "losses")
     public void groupServesWhenAnotherIsLostRightAfterAPlannedRemoval(Loss loss, Leader leader, long seed) {
-        Group group = new Group(seed, leader);
-        group.startSuccessor();
-        group.simulation.run(CATCH_UP_MS);
-        group.electAgain(leader);
+        Group group = Group.withSuccessor(seed, leader);
         group.simulation.stop(group.replaced);
         group.electAgain(leader == Leader.REPLACED ? Leader.OTHER : leader);
         group.lose(loss);
@@ -154,10 +148,7 @@
     @Test(dataProvider = "seeds")
     public void leaderGoesOnWhenTwoOfFourVotersAreLostAtOnce(long seed) {
         for (Loss loss : Loss.values()) {
-            Group group = new Group(seed, Leader.OTHER);
-            group.startSuccessor();
-            group.simulation.run(CATCH_UP_MS);
-            group.electAgain(Leader.OTHER);
+            Group group = Group.withSuccessor(seed, Leader.OTHER);
             group.simulation.crash(group.replaced);
             group.lose(loss);
             group.checkServesWithoutLost();
@@ -171,10 +162,7 @@
      */
     @Test(dataProvider = "losses")
     public void groupReturnsWhenTwoOfFourVotersAreLostAtOnce(Loss loss, Leader leader, long seed) {
-        Group group = new Group(seed, leader);
-        group.startSuccessor();
-        group.simulation.run(CATCH_UP_MS);
-        group.electAgain(leader);
+        Group group = Group.withSuccessor(seed, leader);
         group.simulation.crash(group.replaced);
         group.lose(loss);
         group.simulation.run(1_500);
@@ -184,10 +172,7 @@
     /** The same if all other members lose power at that moment. */
     @Test(dataProvider = "losses")
     public void groupReturnsWhenTheOthersAreRestarted(Loss loss, Leader leader, long seed) {
-        Group group = new Group(seed, leader);
-        group.startSuccessor();
-        group.simulation.run(CATCH_UP_MS);
-        group.electAgain(leader);
+        Group group = Group.withSuccessor(seed, leader);
         group.simulation.crash(group.replaced);
         group.lose(loss);
         group.simulation.crash(group.other);
@@ -217,6 +202,15 @@
             other = 3 - replaced - lost;
         }
 
+        /** Returns a group in which the successor votes and the given instance leads. */
+        static Group withSuccessor(long seed, Leader leader) {
+            Group group = new Group(seed, leader);
+            group.startSuccessor();
+            group.simulation.run(CATCH_UP_MS);
+            group.electAgain(leader);
+            return group;
+        }
+
         private SimMember awaitLeader() {
             for (int i = 0; simulation.leader().isEmpty(); i++) {
                 assertTrue(i < 200, "No leader");
--- a/src/test/java/io/chivehollow/state/consensus/SimulationTest.java
+++ b/src/test/java/io/chivehollow/state/consensus/SimulationTest.java
@@ -12,25 +12,8 @@
  */
 public class SimulationTest {
 
-    private static final int SEEDS = Integer.getInteger("consensus.seeds", 1_000);
-
     @Test
     public void survivesRandomFaults() {
-        Long only = Long.getLong("consensus.seed");
-        if (only != null) {
-            runSeed(only);
-            return;
-        }
-        for (long seed = 1; seed <= SEEDS; seed++) {
-            runSeed(seed);
-        }
-    }
-
-    private static void runSeed(long seed) {
-        try {
-            RandomFaults.run(seed, Set.of());
-        } catch (RuntimeException e) {
-            throw new AssertionError("Seed " + seed + ": " + e + "; replay with -Dconsensus.seed=" + seed, e);
-        }
+        Seeds.run("consensus", 1_000, seed -> RandomFaults.run(seed, Set.of()));
     }
 }
