--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Exits with 1 if the added route is served less than a quarter as often as the first one, 0 if not, 2 if it could not run.
-# TROUBLE=0: the added route names the plain service only.
+# Exits with 1 if a service is served no more after its runners have restarted, 0 if it is, 2 if it could not run.
+# TROUBLE=0: the runners start again under new ids.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/review-3/SplitRoute.class ] || exit 2
-exec java -Xmx128m -cp target/review-3 SplitRoute review/14/record.txt
+[ -f target/review-3/RestartedUnderSameId.class ] || exit 2
+exec java -Xmx128m -cp target/review-3 RestartedUnderSameId review/14/record.txt
--- /dev/null
+++ b/review/rig3/StrandedReplica.java
@@ -0,0 +1,126 @@
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A machine of the core is replaced as planned while another one is down, and the successor loses its disk.
+ *
+ * <p>Exits with 1 if the acknowledged configuration does not come back, 0 if it does, and 2 if the case could not run.
+ */
+public final class StrandedReplica {
+
+    private static final int OLD_VERSION = 7;
+    private static final int NEW_VERSION = 12;
+
+    /** Longer than catchupS, 4 s. */
+    private static final long SETTLED_MS = 6_000;
+
+    /** graceS. */
+    private static final long GRACE_MS = 8_000;
+
+    private static final long DOWN_MS = 5_000;
+
+    /** More than twice recoverS, 12 s, after the last machine is back. */
+    private static final long READ_BACK_MS = 30_000;
+
+    private final Rig rig;
+    private final boolean hasTrouble;
+    private final boolean losesDisk;
+
+    private StrandedReplica(Rig rig, boolean hasTrouble, boolean losesDisk) {
+        this.rig = rig;
+        this.hasTrouble = hasTrouble;
+        this.losesDisk = losesDisk;
+    }
+
+    public static void main(String[] args) throws IOException {
+        int exitCode = 2;
+        boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean losesDisk = !"1".equals(System.getenv("KEEP_DISK"));
+        Files.deleteIfExists(Path.of(args[0]));
+        try (Rig rig = new Rig(Path.of(args[0]))) {
+            exitCode = new StrandedReplica(rig, hasTrouble, losesDisk).run();
+        } catch (IOException | IllegalStateException e) {
+            System.err.println(e);
+        }
+        System.exit(exitCode);
+    }
+
+    private static String document(long version) {
+        return String.format(
+                Locale.ROOT,
+                "{\"version\":%d,\"routes\":[{\"name\":\"r-%d\",\"host\":\"shop.example\",\"pathPrefix\":\"/job/\","
+                        + "\"kind\":\"idempotent\",\"timeoutMs\":1500,\"sloMs\":150,\"priority\":2,"
+                        + "\"service\":\"desk\",\"attempts\":2,\"public\":true}],\"services\":[{\"name\":\"desk\","
+                        + "\"healthPath\":\"/healthz\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false,"
+                        + "\"coldS\":0.0,\"coldPerS\":0.0}],\"limits\":{\"maxHeaderBytes\":16384,"
+                        + "\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
+                version,
+                version);
+    }
+
+    private int run() throws IOException {
+        Rig.Machine replaced = rig.machine(1, "z-a");
+        Rig.Machine b = rig.machine(2, "z-b");
+        Rig.Machine down = rig.machine(3, "z-c");
+        Rig.Machine successor = rig.machine(4, "z-a");
+        List<Rig.Machine> core = List.of(replaced, b, down);
+        for (Rig.Machine machine : core) {
+            machine.start(core, true);
+        }
+        rig.publish(core, document(OLD_VERSION), 20_000);
+        List<Rig.Machine> seeds = List.of(b, down, successor);
+        successor.start(core, false);
+        rig.log("%s is added with an empty disk as the successor of %s", successor.ip, replaced.ip);
+        Rig.sleep(SETTLED_MS);
+        rig.await("all machines read back the configuration", 10_000, () -> List.of(replaced, b, down, successor).stream()
+                .allMatch(machine -> rig.read(machine) == OLD_VERSION));
+        if (hasTrouble) {
+            down.kill();
+            rig.log("%s is killed and stays down", down.ip);
+            Rig.sleep(DOWN_MS);
+        }
+        replaced.signal("TERM");
+        rig.log("%s gets SIGTERM and leaves for good", replaced.ip);
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GRACE_MS);
+        while (replaced.isAlive() && System.nanoTime() - endNanos < 0) {
+            Rig.sleep(50);
+        }
+        replaced.kill();
+        rig.log("%s has ended", replaced.ip);
+        rig.publish(List.of(b, successor), document(NEW_VERSION), 20_000);
+        if (hasTrouble) {
+            successor.kill();
+            rig.log("%s is killed", successor.ip);
+            if (losesDisk) {
+                successor.loseDisk();
+                rig.log("%s loses its disk", successor.ip);
+            }
+            Rig.sleep(1_500);
+            successor.start(seeds, false);
+            down.start(seeds, false);
+        }
+        rig.log("all machines are back");
+        List<Rig.Machine> all = new ArrayList<>(seeds);
+        double backAt = rig.seconds();
+        long last = -2;
+        while (rig.seconds() - backAt < READ_BACK_MS / 1_000.0) {
+            Rig.sleep(1_500);
+            for (Rig.Machine machine : all) {
+                long read = rig.read(machine);
+                rig.log("operator: %s reads back %s", machine.ip, read == -2 ? "no 200" : "version " + read);
+                last = read == -2 ? last : read;
+            }
+        }
+        int status = rig.put(b, document(NEW_VERSION + 3));
+        rig.log("operator: a further version gets %s", status == 0 ? "no response" : "" + status);
+        boolean isBroken = last != NEW_VERSION;
+        rig.log("read back: %s; acknowledged: %d: %s", last == -2 ? "nothing" : "version " + last, NEW_VERSION,
+                isBroken ? "BROKEN" : "held");
+        return isBroken ? 1 : 0;
+    }
+}
