--- a/review/rig3/CrashingPart.java
+++ b/review/CrashingPart.java
@@ -36,10 +36,10 @@
     private static final String HEAD = STATUS_LINE
             + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Server-Stamp: 3e1b.dead.1\r\n\r\n";
 
-    private final Rig rig;
+    private final MachineRig rig;
     private final boolean hasTrouble;
     private final String begun;
-    private final List<Runner> runners = new CopyOnWriteArrayList<>();
+    private final List<PlatformRunner> runners = new CopyOnWriteArrayList<>();
     private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(4);
     private final AtomicInteger starts = new AtomicInteger();
@@ -47,7 +47,7 @@
     private final AtomicInteger lateDeadly = new AtomicInteger();
     private volatile boolean isOver;
 
-    private CrashingPart(Rig rig, boolean hasTrouble, String begun) {
+    private CrashingPart(MachineRig rig, boolean hasTrouble, String begun) {
         this.rig = rig;
         this.hasTrouble = hasTrouble;
         this.begun = begun;
@@ -57,7 +57,7 @@
         int exitCode = 2;
         Files.deleteIfExists(Path.of(args[0]));
         String begun = "1".equals(System.getenv("WHOLE_HEAD")) ? HEAD : STATUS_LINE;
-        try (Rig rig = new Rig(Path.of(args[0]))) {
+        try (MachineRig rig = new MachineRig(Path.of(args[0]))) {
             exitCode = new CrashingPart(rig, !"0".equals(System.getenv("TROUBLE")), begun).run();
         } catch (IOException | IllegalStateException e) {
             System.err.println(e);
@@ -79,7 +79,7 @@
 
     private void start(String zone, String stage, int port) {
         try {
-            Runner runner = Runner.start(
+            PlatformRunner runner = PlatformRunner.start(
                     rig, "model", zone, String.format(Locale.ROOT, "i-%s%04d", stage, starts.incrementAndGet()), port, 20);
             runners.add(runner.withStage(stage).crashingOn(DEADLY_PART, begun, this::onCrash));
         } catch (IOException e) {
@@ -88,7 +88,7 @@
     }
 
     /** The runner stays on the list for a while, and another one starts at its address some seconds later. */
-    private void onCrash(Runner crashed) {
+    private void onCrash(PlatformRunner crashed) {
         crashNanos.add(System.nanoTime());
         rig.log("runner %s crashes (crash %d)", crashed.id, crashNanos.size());
         timers.schedule(() -> runners.remove(crashed), LISTED_MS, TimeUnit.MILLISECONDS);
@@ -104,27 +104,27 @@
             runners.forEach(runner -> entries.add(runner.entry()));
             return entries;
         });
-        List<Rig.Machine> core = List.of(rig.machine(1, "z-a"), rig.machine(2, "z-b"), rig.machine(3, "z-c"));
-        for (Rig.Machine machine : core) {
+        List<MachineRig.Machine> core = List.of(rig.machine(1, "z-a"), rig.machine(2, "z-b"), rig.machine(3, "z-c"));
+        for (MachineRig.Machine machine : core) {
             machine.start(core, true);
         }
         rig.publish(core, document(), 20_000);
-        rig.await("all machines are ready", 15_000, () -> core.stream().allMatch(Rig.Machine::isReady));
-        Rig.sleep(2_000);
-        for (Rig.Machine machine : core) {
-            Rig.daemon("sound", () -> askSound(machine));
+        rig.await("all machines are ready", 15_000, () -> core.stream().allMatch(MachineRig.Machine::isReady));
+        MachineRig.sleep(2_000);
+        for (MachineRig.Machine machine : core) {
+            MachineRig.daemon("sound", () -> askSound(machine));
         }
-        Rig.sleep(SOUND_ONLY_MS);
+        MachineRig.sleep(SOUND_ONLY_MS);
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DEADLY_MS);
         for (int i = 0; System.nanoTime() - endNanos < 0; i++) {
             if (hasTrouble) {
                 int number = i;
-                Rig.daemon("deadly", () -> askDeadly(core.get(number % core.size()), number));
+                MachineRig.daemon("deadly", () -> askDeadly(core.get(number % core.size()), number));
             }
-            Rig.sleep(DEADLY_PERIOD_MS);
+            MachineRig.sleep(DEADLY_PERIOD_MS);
         }
         isOver = true;
-        Rig.sleep(3_000);
+        MachineRig.sleep(3_000);
         timers.shutdownNow();
         return judge();
     }
@@ -134,11 +134,11 @@
                 && System.nanoTime() - crashNanos.get((int) crash - 1) > TimeUnit.MILLISECONDS.toNanos(timeMs);
     }
 
-    private void askSound(Rig.Machine machine) {
+    private void askSound(MachineRig.Machine machine) {
         for (int i = 0; !isOver; i++) {
             String phase = crashNanos.isEmpty() ? "before" : isSince(5, 2 * CONTACT_MS) ? "after" : "between";
             int number = i;
-            Rig.daemon("ask", () -> {
+            MachineRig.daemon("ask", () -> {
                 String id = "sound-" + machine.host + "-" + number;
                 int status = ask(machine, id, "5c1e07a2:800,91bd3f06:410,");
                 synchronized (sound) {
@@ -148,11 +148,11 @@
                 }
                 rig.log("client: %s at %s gets %s", id, machine.ip, status == 0 ? "no answer" : "" + status);
             });
-            Rig.sleep(SOUND_PERIOD_MS);
+            MachineRig.sleep(SOUND_PERIOD_MS);
         }
     }
 
-    private void askDeadly(Rig.Machine machine, int number) {
+    private void askDeadly(MachineRig.Machine machine, int number) {
         boolean isLate = isSince(5, CONTACT_MS);
         int crashes = crashNanos.size();
         String id = "deadly-" + number;
@@ -163,7 +163,7 @@
         }
     }
 
-    private int ask(Rig.Machine machine, String id, String parts) {
+    private int ask(MachineRig.Machine machine, String id, String parts) {
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(machine.ip, rig.frontPort), 1_000);
             socket.setSoTimeout(14_500);
@@ -171,7 +171,7 @@
                     + "\r\nX-Model: m\r\nX-Token-Count: 1460,80\r\nX-Prefix-Hash: " + parts
                     + Integer.toHexString(id.hashCode()) + ":250\r\nX-Deadline-Ms: 14000\r\nContent-Length: 2\r\n\r\n{}";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            Rig.Message response = Rig.Message.read(new BufferedInputStream(socket.getInputStream()));
+            MachineRig.Message response = MachineRig.Message.read(new BufferedInputStream(socket.getInputStream()));
             return response == null ? 0 : Integer.parseInt(response.firstLine.split(" ")[1]);
         } catch (IOException e) {
             return 0;
--- a/review/rig3/LostAfterTwoHalves.java
+++ b/review/LostAfterTwoHalves.java
@@ -25,11 +25,11 @@
     /** Longer than configMs and contactMs, 2 s and 3 s, and about recoverS, 12 s, after the last machine is back. */
     private static final long READ_BACK_MS = 16_000;
 
-    private final Rig rig;
+    private final MachineRig rig;
     private final boolean hasTrouble;
     private final boolean losesDisk;
 
-    private LostAfterTwoHalves(Rig rig, boolean hasTrouble, boolean losesDisk) {
+    private LostAfterTwoHalves(MachineRig rig, boolean hasTrouble, boolean losesDisk) {
         this.rig = rig;
         this.hasTrouble = hasTrouble;
         this.losesDisk = losesDisk;
@@ -40,7 +40,7 @@
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
         boolean losesDisk = !"1".equals(System.getenv("KEEP_DISK"));
         Files.deleteIfExists(Path.of(args[0]));
-        try (Rig rig = new Rig(Path.of(args[0]))) {
+        try (MachineRig rig = new MachineRig(Path.of(args[0]))) {
             exitCode = new LostAfterTwoHalves(rig, hasTrouble, losesDisk).run();
         } catch (IOException | IllegalStateException e) {
             System.err.println(e);
@@ -62,30 +62,30 @@
     }
 
     private int run() throws IOException {
-        Rig.Machine a = rig.machine(1, "z-a");
-        Rig.Machine b = rig.machine(2, "z-b");
-        Rig.Machine c = rig.machine(3, "z-c");
-        Rig.Machine d = rig.machine(4, "z-c");
-        List<Rig.Machine> core = List.of(a, b, c);
-        for (Rig.Machine machine : core) {
+        MachineRig.Machine a = rig.machine(1, "z-a");
+        MachineRig.Machine b = rig.machine(2, "z-b");
+        MachineRig.Machine c = rig.machine(3, "z-c");
+        MachineRig.Machine d = rig.machine(4, "z-c");
+        List<MachineRig.Machine> core = List.of(a, b, c);
+        for (MachineRig.Machine machine : core) {
             machine.start(core, true);
         }
         rig.publish(core, document(OLD_VERSION), 20_000);
         d.start(core, false);
         rig.log("%s is added with an empty disk", d.ip);
-        Rig.sleep(SETTLED_MS);
+        MachineRig.sleep(SETTLED_MS);
         rig.await("all machines read back the configuration", 10_000, () -> List.of(a, b, c, d).stream()
                 .allMatch(machine -> rig.read(machine) == OLD_VERSION));
-        Rig.Machine leader = leader(core);
+        MachineRig.Machine leader = leader(core);
         if (leader == null) {
             throw new IllegalStateException("the leader is not known");
         }
-        List<Rig.Machine> others = core.stream().filter(machine -> machine != leader).toList();
+        List<MachineRig.Machine> others = core.stream().filter(machine -> machine != leader).toList();
         rig.log("the leader is %s", leader.ip);
         if (hasTrouble) {
-            others.forEach(Rig.Machine::kill);
+            others.forEach(MachineRig.Machine::kill);
             rig.log("%s and %s are killed and stay down", others.get(0).ip, others.get(1).ip);
-            Rig.sleep(DOWN_MS);
+            MachineRig.sleep(DOWN_MS);
         }
         rig.publish(List.of(leader, d), document(NEW_VERSION), 20_000);
         if (hasTrouble) {
@@ -96,10 +96,10 @@
                 d.loseDisk();
                 rig.log("%s loses its disk", d.ip);
             }
-            for (Rig.Machine machine : List.of(others.get(0), others.get(1), d)) {
+            for (MachineRig.Machine machine : List.of(others.get(0), others.get(1), d)) {
                 machine.start(core, false);
             }
-            Rig.sleep(LAST_BACK_MS);
+            MachineRig.sleep(LAST_BACK_MS);
             readAll(List.of(others.get(0), others.get(1), d));
             leader.start(core, false);
         }
@@ -107,7 +107,7 @@
         boolean isOlder = false;
         long last = -2;
         while (rig.seconds() - allBackAt < READ_BACK_MS / 1_000.0) {
-            Rig.sleep(2_500);
+            MachineRig.sleep(2_500);
             long read = readAll(List.of(a, b, c, d));
             last = read == -2 ? last : read;
             isOlder |= read != -2 && read < NEW_VERSION;
@@ -119,9 +119,9 @@
     }
 
     /** Returns the oldest version that a machine reads back, or -2 if none answers with 200. */
-    private long readAll(List<Rig.Machine> machines) {
+    private long readAll(List<MachineRig.Machine> machines) {
         long oldest = Long.MAX_VALUE;
-        for (Rig.Machine machine : machines) {
+        for (MachineRig.Machine machine : machines) {
             long read = rig.read(machine);
             rig.log("operator: %s reads back %s", machine.ip, read == -2 ? "no 200" : "version " + read);
             oldest = read == -2 ? oldest : Math.min(oldest, read);
@@ -130,8 +130,8 @@
     }
 
     /** Returns the machine that states in its log that it leads the group. */
-    private static Rig.Machine leader(List<Rig.Machine> core) {
-        for (Rig.Machine machine : core) {
+    private static MachineRig.Machine leader(List<MachineRig.Machine> core) {
+        for (MachineRig.Machine machine : core) {
             String output = machine.output();
             int at = output.lastIndexOf("Leader of the replica group in term");
             int end = at < 0 ? -1 : output.indexOf('"', at);
--- a/review/rig3/Rig.java
+++ b/review/MachineRig.java
@@ -38,7 +38,7 @@
  * <p>The processes have loopback addresses of their own and the same ports, as on the platform. All processes are
  * killed and the temporary folder is deleted when the rig is closed.
  */
-final class Rig implements AutoCloseable {
+final class MachineRig implements AutoCloseable {
 
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
 
@@ -58,7 +58,7 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(CALL_TIMEOUT).build();
     private volatile Supplier<List<String>> instances = List::of;
 
-    Rig(Path recordFile) throws IOException {
+    MachineRig(Path recordFile) throws IOException {
         Path parent = Files.createDirectories(repository.resolve("target/review-3-runs"));
         folder = Files.createTempDirectory(parent, "run");
         record = new PrintWriter(
@@ -266,7 +266,7 @@
             builder.directory(repository.toFile());
             builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
             process = builder.start();
-            Rig.this.log("platform: %s starts", ip);
+            MachineRig.this.log("platform: %s starts", ip);
         }
 
         private String settings(List<Machine> seeds, boolean isBootstrap) throws IOException {
--- a/review/rig3/Runner.java
+++ b/review/PlatformRunner.java
@@ -14,7 +14,7 @@
 import java.util.function.Consumer;
 
 /** A runner of a plain service, as the users' pages describe it. */
-final class Runner {
+final class PlatformRunner {
 
     private static final int IDLE_TIMEOUT_S = 5;
 
@@ -26,7 +26,7 @@
     final String id;
     final long bornMs = System.currentTimeMillis();
     final AtomicInteger runs = new AtomicInteger();
-    private final Rig rig;
+    private final MachineRig rig;
     private final ServerSocket server;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final int workMs;
@@ -36,11 +36,11 @@
     private volatile String stage;
     private volatile String deadlyPart;
     private volatile String begunAnswer;
-    private volatile Consumer<Runner> onCrash;
+    private volatile Consumer<PlatformRunner> onCrash;
     private volatile boolean isStopped;
     private volatile boolean hasCrashed;
 
-    private Runner(Rig rig, String service, String zone, String id, int port, int workMs) throws IOException {
+    private PlatformRunner(MachineRig rig, String service, String zone, String id, int port, int workMs) throws IOException {
         this.rig = rig;
         this.service = service;
         this.zone = zone;
@@ -52,9 +52,9 @@
     }
 
     /** Starts a runner; port 0 selects a free one. */
-    static Runner start(Rig rig, String service, String zone, String id, int port, int workMs) throws IOException {
-        Runner runner = new Runner(rig, service, zone, id, port, workMs);
-        Rig.daemon("runner", runner::accept);
+    static PlatformRunner start(MachineRig rig, String service, String zone, String id, int port, int workMs) throws IOException {
+        PlatformRunner runner = new PlatformRunner(rig, service, zone, id, port, workMs);
+        MachineRig.daemon("runner", runner::accept);
         rig.log("runner %s of %s starts at %s:%d", id, service, rig.address(240), runner.port());
         return runner;
     }
@@ -104,7 +104,7 @@
             try {
                 Socket socket = server.accept();
                 open.add(socket);
-                Rig.daemon("runner-connection", () -> serve(socket));
+                MachineRig.daemon("runner-connection", () -> serve(socket));
             } catch (IOException e) {
                 return;
             }
@@ -117,7 +117,7 @@
             socket.setSoTimeout(IDLE_TIMEOUT_S * 1_000);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
-            for (Rig.Message request = Rig.Message.read(in); request != null; request = Rig.Message.read(in)) {
+            for (MachineRig.Message request = MachineRig.Message.read(in); request != null; request = MachineRig.Message.read(in)) {
                 out.write(answer(request));
                 out.flush();
                 if (hasCrashed) {
@@ -136,13 +136,13 @@
     }
 
     /** Makes the runner a model runner of the given stage, or a runner that answers with streams if it is empty. */
-    Runner withStage(String newStage) {
+    PlatformRunner withStage(String newStage) {
         stage = newStage;
         return this;
     }
 
     /** Lets the runner end as soon as it has written the beginning of an answer to a prompt with the part. */
-    Runner crashingOn(String part, String begun, Consumer<Runner> listener) {
+    PlatformRunner crashingOn(String part, String begun, Consumer<PlatformRunner> listener) {
         deadlyPart = part;
         begunAnswer = begun;
         onCrash = listener;
@@ -150,28 +150,28 @@
     }
 
     /** Returns the answer to a request of a model runner, or a stream; nothing is kept beyond the answer. */
-    private byte[] streamAnswer(Rig.Message request, String echoed) throws IOException {
+    private byte[] streamAnswer(MachineRig.Message request, String echoed) throws IOException {
         if (!stage.isEmpty() && request.firstLine.startsWith("POST /api/hold-take ")) {
             String hold = "{\"hold\":\"" + id + "-" + holds.incrementAndGet() + "\"}";
-            return Rig.Message.response(200, "application/json", hold.getBytes(StandardCharsets.UTF_8), echoed);
+            return MachineRig.Message.response(200, "application/json", hold.getBytes(StandardCharsets.UTF_8), echoed);
         }
         if (!stage.isEmpty() && request.firstLine.startsWith("DELETE /api/")) {
-            return Rig.Message.response(200, "application/json", "{}".getBytes(StandardCharsets.UTF_8), echoed);
+            return MachineRig.Message.response(200, "application/json", "{}".getBytes(StandardCharsets.UTF_8), echoed);
         }
         if (!stage.isEmpty() && request.firstLine.startsWith("GET /api/report ")) {
             String report = "{\"stage\":\"" + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
                     + "\"busy\":false,\"seq\":0,\"queued\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":60000,\"handles\":0}";
-            return Rig.Message.response(200, "application/json", report.getBytes(StandardCharsets.UTF_8), echoed);
+            return MachineRig.Message.response(200, "application/json", report.getBytes(StandardCharsets.UTF_8), echoed);
         }
         if (!stage.isEmpty() && request.firstLine.startsWith("POST /api/order ")) {
-            return Rig.Message.response(409, "application/json", "{}".getBytes(StandardCharsets.UTF_8), echoed);
+            return MachineRig.Message.response(409, "application/json", "{}".getBytes(StandardCharsets.UTF_8), echoed);
         }
         boolean isPrefill = "prefill".equals(request.field("X-Stage"));
         if (!stage.isEmpty() && isPrefill != stage.equals("prefill")) {
-            return Rig.Message.response(
+            return MachineRig.Message.response(
                     421, "text/plain", new byte[0], "X-Not-Run: 1", echoed, "X-Instance: " + id);
         }
-        Rig.sleep(workMs);
+        MachineRig.sleep(workMs);
         String parts = request.field("X-Prefix-Hash");
         if (!isPrefill && deadlyPart != null && parts != null && parts.contains(deadlyPart)) {
             hasCrashed = true;
@@ -180,14 +180,14 @@
         }
         if (isPrefill) {
             String handle = "{\"kvHandle\":\"" + id + "x" + holds.incrementAndGet() + "\",\"tokens\":100,\"version\":1}";
-            return Rig.Message.response(200, "application/json", handle.getBytes(StandardCharsets.UTF_8), echoed);
+            return MachineRig.Message.response(200, "application/json", handle.getBytes(StandardCharsets.UTF_8), echoed);
         }
         runs.incrementAndGet();
         StringBuilder events = new StringBuilder();
         for (int i = 1; i <= 3; i++) {
             events.append("id: ").append(i).append("\ndata: piece ").append(i).append(" of ").append(id).append("\n\n");
         }
-        return Rig.Message.response(
+        return MachineRig.Message.response(
                 200,
                 "text/event-stream",
                 events.toString().getBytes(StandardCharsets.UTF_8),
@@ -196,7 +196,7 @@
                 "X-Weight-Versions: 1");
     }
 
-    private byte[] answer(Rig.Message request) throws IOException {
+    private byte[] answer(MachineRig.Message request) throws IOException {
         String requestId = request.field("X-Request-Id");
         String expected = request.field("X-Expect-Instance");
         byte[] none = new byte[0];
@@ -204,23 +204,23 @@
         String connection = isLeaving ? "Connection: close" : "Keep-Alive: timeout=" + IDLE_TIMEOUT_S;
         String echoed = requestId == null ? "X-Instance: " + id : "X-Request-Id: " + requestId;
         if (expected != null && !expected.equals(id)) {
-            return Rig.Message.response(
+            return MachineRig.Message.response(
                     421, "text/plain", none, "X-Not-Run: 1", echoed, "X-Instance: " + id, leaving, connection);
         }
         if (request.firstLine.startsWith("GET /healthz ")) {
-            return Rig.Message.response(
+            return MachineRig.Message.response(
                     isLeaving ? 503 : 200, "text/plain", none, "X-Instance: " + id, leaving, connection, echoed);
         }
         if (stage != null) {
             return streamAnswer(request, echoed);
         }
         if (requestId == null) {
-            return Rig.Message.response(400, "text/plain", none, "X-Not-Run: 1", leaving, connection);
+            return MachineRig.Message.response(400, "text/plain", none, "X-Not-Run: 1", leaving, connection);
         }
         runs.incrementAndGet();
-        Rig.sleep(workMs);
+        MachineRig.sleep(workMs);
         byte[] body = ("done by " + id + " " + requestId).getBytes(StandardCharsets.UTF_8);
-        return Rig.Message.response(
+        return MachineRig.Message.response(
                 200,
                 "text/plain",
                 body,
--- a/review/rig3/RestartedUnderSameId.java
+++ b/review/RestartedUnderSameId.java
@@ -26,16 +26,16 @@
     private static final int DOWN_MS = 1_000;
     private static final int DAY_MS = 95_000;
 
-    private final Rig rig;
+    private final MachineRig rig;
     private final boolean keepsIds;
     private final Map<String, AtomicInteger> asked = new TreeMap<>();
     private final Map<String, AtomicInteger> served = new TreeMap<>();
     private final Map<String, AtomicInteger> ends = new TreeMap<>();
-    private final List<Runner> runners = new CopyOnWriteArrayList<>();
+    private final List<PlatformRunner> runners = new CopyOnWriteArrayList<>();
     private final AtomicInteger numbers = new AtomicInteger();
     private volatile boolean isOver;
 
-    private RestartedUnderSameId(Rig rig, boolean keepsIds) {
+    private RestartedUnderSameId(MachineRig rig, boolean keepsIds) {
         this.rig = rig;
         this.keepsIds = keepsIds;
     }
@@ -43,7 +43,7 @@
     public static void main(String[] args) throws IOException {
         int exitCode = 2;
         Files.deleteIfExists(Path.of(args[0]));
-        try (Rig rig = new Rig(Path.of(args[0]))) {
+        try (MachineRig rig = new MachineRig(Path.of(args[0]))) {
             exitCode = new RestartedUnderSameId(rig, !"0".equals(System.getenv("TROUBLE"))).run();
         } catch (IOException | IllegalStateException | InterruptedException e) {
             System.err.println(e);
@@ -64,16 +64,16 @@
 
     private int run() throws IOException, InterruptedException {
         for (int i = 0; i < 3; i++) {
-            runners.add(Runner.start(rig, "desk", "z-" + "abc".charAt(i), "i-desk" + i, 0, 40));
-            runners.add(Runner.start(rig, "status", "z-" + "abc".charAt(i), "i-status" + i, 0, 40));
+            runners.add(PlatformRunner.start(rig, "desk", "z-" + "abc".charAt(i), "i-desk" + i, 0, 40));
+            runners.add(PlatformRunner.start(rig, "status", "z-" + "abc".charAt(i), "i-status" + i, 0, 40));
         }
         rig.setInstances(() -> {
             List<String> entries = new ArrayList<>();
             runners.forEach(runner -> entries.add(runner.entry()));
             return entries;
         });
-        List<Rig.Machine> core = List.of(rig.machine(1, "z-a"), rig.machine(2, "z-b"), rig.machine(3, "z-c"));
-        for (Rig.Machine machine : core) {
+        List<MachineRig.Machine> core = List.of(rig.machine(1, "z-a"), rig.machine(2, "z-b"), rig.machine(3, "z-c"));
+        for (MachineRig.Machine machine : core) {
             machine.start(core, true);
         }
         rig.publish(
@@ -83,41 +83,41 @@
                         + service("status") + "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
                         + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
                 20_000);
-        rig.await("all machines are ready", 15_000, () -> core.stream().allMatch(Rig.Machine::isReady));
+        rig.await("all machines are ready", 15_000, () -> core.stream().allMatch(MachineRig.Machine::isReady));
         double startS = rig.seconds();
         for (int i = 0; i < core.size(); i++) {
-            Rig.Machine machine = core.get(i);
-            Rig.daemon("booking", () -> ask(machine, "booking", 80));
-            Rig.daemon("job", () -> ask(machine, "job", 20));
-            Rig.daemon("job", () -> ask(machine, "job", 20));
+            MachineRig.Machine machine = core.get(i);
+            MachineRig.daemon("booking", () -> ask(machine, "booking", 80));
+            MachineRig.daemon("job", () -> ask(machine, "job", 20));
+            MachineRig.daemon("job", () -> ask(machine, "job", 20));
         }
-        Rig.sleep(1_000);
+        MachineRig.sleep(1_000);
         for (int i = 0; i < 3; i++) {
             replace("i-desk" + i, i);
         }
         rig.log("all runners of desk have started again");
         while (rig.seconds() - startS < DAY_MS / 1_000.0) {
-            Rig.sleep(200);
+            MachineRig.sleep(200);
         }
         isOver = true;
-        Rig.sleep(1_600);
+        MachineRig.sleep(1_600);
         return judge();
     }
 
     /** Replaces a runner as the platform does it: it leaves, ends, and another one starts at the same address. */
     private void replace(String id, int number) throws IOException {
-        Runner old = runners.stream().filter(runner -> runner.id.equals(id)).findFirst().orElseThrow();
+        PlatformRunner old = runners.stream().filter(runner -> runner.id.equals(id)).findFirst().orElseThrow();
         old.leave();
-        Rig.sleep(DRAIN_MS);
+        MachineRig.sleep(DRAIN_MS);
         old.stop();
         runners.remove(old);
-        Rig.sleep(DOWN_MS + 1_000);
-        runners.add(Runner.start(rig, "desk", old.zone, keepsIds ? id : id + "-new", old.port(), 40));
-        Rig.sleep(500);
+        MachineRig.sleep(DOWN_MS + 1_000);
+        runners.add(PlatformRunner.start(rig, "desk", old.zone, keepsIds ? id : id + "-new", old.port(), 40));
+        MachineRig.sleep(500);
     }
 
     /** A client at one machine, which asks over new connections at a steady rate. */
-    private void ask(Rig.Machine machine, String kind, int periodMs) {
+    private void ask(MachineRig.Machine machine, String kind, int periodMs) {
         for (int i = 0; !isOver; i++) {
             String id = String.format(Locale.ROOT, "%s-%d-%06d", kind, machine.host, numbers.incrementAndGet());
             int status = attempt(machine, kind, id);
@@ -129,7 +129,7 @@
             if (i % 100 == 0 || status != 200 && i % 100 < 2) {
                 rig.log("client: %s at %s gets %s", id, machine.ip, status == 0 ? "no answer" : "" + status);
             }
-            Rig.sleep(periodMs);
+            MachineRig.sleep(periodMs);
         }
     }
 
@@ -139,7 +139,7 @@
         }
     }
 
-    private int attempt(Rig.Machine machine, String kind, String id) {
+    private int attempt(MachineRig.Machine machine, String kind, String id) {
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(machine.ip, rig.frontPort), 1_000);
             socket.setSoTimeout(2_000);
@@ -147,7 +147,7 @@
                     + "\r\nX-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\n{}";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            Rig.Message response = Rig.Message.read(in);
+            MachineRig.Message response = MachineRig.Message.read(in);
             return response == null ? 0 : Integer.parseInt(response.firstLine.split(" ")[1]);
         } catch (IOException e) {
             return 0;
--- a/review/rig3/SplitRoute.java
+++ b/review/SplitRoute.java
@@ -23,12 +23,12 @@
     private static final long SETTLED_MS = 4_000;
     private static final int REQUESTS = 120;
 
-    private final Rig rig;
+    private final MachineRig rig;
     private final boolean isSplit;
-    private final List<Runner> runners = new CopyOnWriteArrayList<>();
+    private final List<PlatformRunner> runners = new CopyOnWriteArrayList<>();
     private final Map<String, Integer> ends = new TreeMap<>();
 
-    private SplitRoute(Rig rig, boolean isSplit) {
+    private SplitRoute(MachineRig rig, boolean isSplit) {
         this.rig = rig;
         this.isSplit = isSplit;
     }
@@ -36,7 +36,7 @@
     public static void main(String[] args) throws IOException {
         int exitCode = 2;
         Files.deleteIfExists(Path.of(args[0]));
-        try (Rig rig = new Rig(Path.of(args[0]))) {
+        try (MachineRig rig = new MachineRig(Path.of(args[0]))) {
             exitCode = new SplitRoute(rig, !"0".equals(System.getenv("TROUBLE"))).run();
         } catch (IOException | IllegalStateException e) {
             System.err.println(e);
@@ -65,27 +65,27 @@
     private int run() throws IOException {
         for (int i = 0; i < 3; i++) {
             String zone = "z-" + "abc".charAt(i);
-            runners.add(Runner.start(rig, "model", zone, "i-pre" + i, 0, 20).withStage("prefill"));
-            runners.add(Runner.start(rig, "model", zone, "i-dec" + i, 0, 20).withStage("decode"));
-            runners.add(Runner.start(rig, "plain", zone, "i-plain" + i, 0, 20).withStage(""));
+            runners.add(PlatformRunner.start(rig, "model", zone, "i-pre" + i, 0, 20).withStage("prefill"));
+            runners.add(PlatformRunner.start(rig, "model", zone, "i-dec" + i, 0, 20).withStage("decode"));
+            runners.add(PlatformRunner.start(rig, "plain", zone, "i-plain" + i, 0, 20).withStage(""));
         }
         rig.setInstances(() -> {
             List<String> entries = new ArrayList<>();
             runners.forEach(runner -> entries.add(runner.entry()));
             return entries;
         });
-        List<Rig.Machine> core = List.of(rig.machine(1, "z-a"), rig.machine(2, "z-b"), rig.machine(3, "z-c"));
-        for (Rig.Machine machine : core) {
+        List<MachineRig.Machine> core = List.of(rig.machine(1, "z-a"), rig.machine(2, "z-b"), rig.machine(3, "z-c"));
+        for (MachineRig.Machine machine : core) {
             machine.start(core, true);
         }
         String first = route("first", "\"service\":\"model\"");
         rig.publish(core, document(7, first), 20_000);
-        rig.await("all machines are ready", 15_000, () -> core.stream().allMatch(Rig.Machine::isReady));
+        rig.await("all machines are ready", 15_000, () -> core.stream().allMatch(MachineRig.Machine::isReady));
         String targets = isSplit
                 ? "\"split\":[{\"service\":\"model\",\"weight\":10},{\"service\":\"plain\",\"weight\":90}]"
                 : "\"service\":\"plain\"";
         rig.publish(core, document(9, first + "," + route("added", targets)), 20_000);
-        Rig.sleep(SETTLED_MS);
+        MachineRig.sleep(SETTLED_MS);
         int servedFirst = 0;
         int servedAdded = 0;
         for (int i = 0; i < REQUESTS; i++) {
@@ -105,7 +105,7 @@
         return isBroken ? 1 : 0;
     }
 
-    private int ask(Rig.Machine machine, String route, int number) {
+    private int ask(MachineRig.Machine machine, String route, int number) {
         String id = String.format(Locale.ROOT, "%s-%06d", route, number);
         long startNanos = System.nanoTime();
         int status = 0;
@@ -116,7 +116,7 @@
                     + "\r\nX-Model: m\r\nX-Token-Count: 1460,80\r\nX-Prefix-Hash: 5c1e07a2:800," + id.hashCode()
                     + ":660\r\nX-Deadline-Ms: 14000\r\nContent-Length: 2\r\n\r\n{}";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            Rig.Message response = Rig.Message.read(new BufferedInputStream(socket.getInputStream()));
+            MachineRig.Message response = MachineRig.Message.read(new BufferedInputStream(socket.getInputStream()));
             status = response == null ? 0 : Integer.parseInt(response.firstLine.split(" ")[1]);
         } catch (IOException e) {
             status = 0;
--- a/review/rig3/StrandedReplica.java
+++ b/review/StrandedReplica.java
@@ -27,11 +27,11 @@
     /** More than twice recoverS, 12 s, after the last machine is back. */
     private static final long READ_BACK_MS = 30_000;
 
-    private final Rig rig;
+    private final MachineRig rig;
     private final boolean hasTrouble;
     private final boolean losesDisk;
 
-    private StrandedReplica(Rig rig, boolean hasTrouble, boolean losesDisk) {
+    private StrandedReplica(MachineRig rig, boolean hasTrouble, boolean losesDisk) {
         this.rig = rig;
         this.hasTrouble = hasTrouble;
         this.losesDisk = losesDisk;
@@ -42,7 +42,7 @@
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
         boolean losesDisk = !"1".equals(System.getenv("KEEP_DISK"));
         Files.deleteIfExists(Path.of(args[0]));
-        try (Rig rig = new Rig(Path.of(args[0]))) {
+        try (MachineRig rig = new MachineRig(Path.of(args[0]))) {
             exitCode = new StrandedReplica(rig, hasTrouble, losesDisk).run();
         } catch (IOException | IllegalStateException e) {
             System.err.println(e);
@@ -64,31 +64,31 @@
     }
 
     private int run() throws IOException {
-        Rig.Machine replaced = rig.machine(1, "z-a");
-        Rig.Machine b = rig.machine(2, "z-b");
-        Rig.Machine down = rig.machine(3, "z-c");
-        Rig.Machine successor = rig.machine(4, "z-a");
-        List<Rig.Machine> core = List.of(replaced, b, down);
-        for (Rig.Machine machine : core) {
+        MachineRig.Machine replaced = rig.machine(1, "z-a");
+        MachineRig.Machine b = rig.machine(2, "z-b");
+        MachineRig.Machine down = rig.machine(3, "z-c");
+        MachineRig.Machine successor = rig.machine(4, "z-a");
+        List<MachineRig.Machine> core = List.of(replaced, b, down);
+        for (MachineRig.Machine machine : core) {
             machine.start(core, true);
         }
         rig.publish(core, document(OLD_VERSION), 20_000);
-        List<Rig.Machine> seeds = List.of(b, down, successor);
+        List<MachineRig.Machine> seeds = List.of(b, down, successor);
         successor.start(core, false);
         rig.log("%s is added with an empty disk as the successor of %s", successor.ip, replaced.ip);
-        Rig.sleep(SETTLED_MS);
+        MachineRig.sleep(SETTLED_MS);
         rig.await("all machines read back the configuration", 10_000, () -> List.of(replaced, b, down, successor).stream()
                 .allMatch(machine -> rig.read(machine) == OLD_VERSION));
         if (hasTrouble) {
             down.kill();
             rig.log("%s is killed and stays down", down.ip);
-            Rig.sleep(DOWN_MS);
+            MachineRig.sleep(DOWN_MS);
         }
         replaced.signal("TERM");
         rig.log("%s gets SIGTERM and leaves for good", replaced.ip);
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GRACE_MS);
         while (replaced.isAlive() && System.nanoTime() - endNanos < 0) {
-            Rig.sleep(50);
+            MachineRig.sleep(50);
         }
         replaced.kill();
         rig.log("%s has ended", replaced.ip);
@@ -100,17 +100,17 @@
                 successor.loseDisk();
                 rig.log("%s loses its disk", successor.ip);
             }
-            Rig.sleep(1_500);
+            MachineRig.sleep(1_500);
             successor.start(seeds, false);
             down.start(seeds, false);
         }
         rig.log("all machines are back");
-        List<Rig.Machine> all = new ArrayList<>(seeds);
+        List<MachineRig.Machine> all = new ArrayList<>(seeds);
         double backAt = rig.seconds();
         long last = -2;
         while (rig.seconds() - backAt < READ_BACK_MS / 1_000.0) {
-            Rig.sleep(1_500);
-            for (Rig.Machine machine : all) {
+            MachineRig.sleep(1_500);
+            for (MachineRig.Machine machine : all) {
                 long read = rig.read(machine);
                 rig.log("operator: %s reads back %s", machine.ip, read == -2 ? "no 200" : "version " + read);
                 last = read == -2 ? last : read;
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-javac -d target/review-3 review/rig3/*.java
+cd review
+javac -d ../target/review-3 \
+    MachineRig.java PlatformRunner.java LostAfterTwoHalves.java StrandedReplica.java CrashingPart.java \
+    RestartedUnderSameId.java SplitRoute.java
