--- a/review/LostAfterTwoHalves.java
+++ b/review/LostAfterTwoHalves.java
@@ -17,10 +17,11 @@
     /** Longer than catchupS, 4 s. */
     private static final long SETTLED_MS = 6_000;
 
-    /** The first two machines are down for this time before the change is sent. */
-    private static final long DOWN_MS = 5_000;
+    /** The first two machines are down for this time before the change is sent, and less than 5 s in all. */
+    private static final long DOWN_MS = 3_800;
 
-    private static final long LAST_BACK_MS = 8_000;
+    /** The last machine is down for this time and some tenths of a second. */
+    private static final long LAST_BACK_MS = 4_300;
 
     /** Longer than configMs and contactMs, 2 s and 3 s, and about recoverS, 12 s, after the last machine is back. */
     private static final long READ_BACK_MS = 16_000;
--- a/review/StrandedReplica.java
+++ b/review/StrandedReplica.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A machine of the core is replaced as planned while another one is down, and the successor loses its disk.
+ * A machine of the core is replaced as planned while another one is frozen, and the successor loses its disk.
  *
  * <p>Exits with 1 if the acknowledged configuration does not come back, 0 if it does, and 2 if the case could not run.
  */
@@ -22,7 +22,8 @@
     /** graceS. */
     private static final long GRACE_MS = 8_000;
 
-    private static final long DOWN_MS = 5_000;
+    /** After this time the frozen voter has been silent for longer than five vote hold times of 600 ms. */
+    private static final long FROZEN_MS = 3_300;
 
     /** More than twice recoverS, 12 s, after the last machine is back. */
     private static final long READ_BACK_MS = 30_000;
@@ -66,23 +67,25 @@
     private int run() throws IOException {
         MachineRig.Machine replaced = rig.machine(1, "z-a");
         MachineRig.Machine b = rig.machine(2, "z-b");
-        MachineRig.Machine down = rig.machine(3, "z-c");
+        MachineRig.Machine frozen = rig.machine(3, "z-c");
         MachineRig.Machine successor = rig.machine(4, "z-a");
-        List<MachineRig.Machine> core = List.of(replaced, b, down);
+        List<MachineRig.Machine> core = List.of(replaced, b, frozen);
         for (MachineRig.Machine machine : core) {
             machine.start(core, true);
         }
         rig.publish(core, document(OLD_VERSION), 20_000);
-        List<MachineRig.Machine> seeds = List.of(b, down, successor);
+        List<MachineRig.Machine> seeds = List.of(b, frozen, successor);
         successor.start(core, false);
         rig.log("%s is added with an empty disk as the successor of %s", successor.ip, replaced.ip);
         MachineRig.sleep(SETTLED_MS);
-        rig.await("all machines read back the configuration", 10_000, () -> List.of(replaced, b, down, successor).stream()
+        rig.await("all machines read back the configuration", 10_000, () -> List.of(replaced, b, frozen, successor).stream()
                 .allMatch(machine -> rig.read(machine) == OLD_VERSION));
+        double frozenAt = 0;
         if (hasTrouble) {
-            down.kill();
-            rig.log("%s is killed and stays down", down.ip);
-            MachineRig.sleep(DOWN_MS);
+            frozen.signal("STOP");
+            frozenAt = rig.seconds();
+            rig.log("%s is frozen", frozen.ip);
+            MachineRig.sleep(FROZEN_MS);
         }
         replaced.signal("TERM");
         rig.log("%s gets SIGTERM and leaves for good", replaced.ip);
@@ -100,9 +103,10 @@
                 successor.loseDisk();
                 rig.log("%s loses its disk", successor.ip);
             }
+            frozen.signal("CONT");
+            rig.log("%s wakes after %.1f s", frozen.ip, rig.seconds() - frozenAt);
             MachineRig.sleep(1_500);
             successor.start(seeds, false);
-            down.start(seeds, false);
         }
         rig.log("all machines are back");
         List<MachineRig.Machine> all = new ArrayList<>(seeds);
